--- /dev/null
+++ b/src/hyssoprill/coordination/intake/directory.py
@@ -0,0 +1,113 @@
+"""Follows the operator's records and knows as of when they are known."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ...clock import boottime_s
+from ...errors import StoreError, StoreHistoryLostError
+from ...logs import decision
+from ...state.directory import Directory
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from ...ports.store import StorePort
+
+    Build = Callable[[Mapping[str, bytes]], Directory]
+
+READ_WAIT_S = 0.8
+RETRY_DELAY_S = 0.1
+
+
+class DirectoryFollower:
+    """The newest operator's view that was read.
+
+    Parameters
+    ----------
+    build : callable
+        Makes a view from the newest value of each of the operator's records.
+
+    Attributes
+    ----------
+    current : Directory
+        Never replaced by a lower version.
+    proven_s : float
+        All that was acknowledged to the operator before this time is in force.
+    """
+
+    def __init__(
+        self, store: StorePort, build: Build, on_change: Callable[[], None]
+    ) -> None:
+        self.current = Directory()
+        self.proven_s = float("-inf")
+        self._store = store
+        self._build = build
+        self._on_change = on_change
+        self._records: dict[str, bytes] = {}
+        self._offsets: dict[str, int] = {}
+        self._next: int | None = None
+
+    @property
+    def age_s(self) -> float:
+        """How old the view may be."""
+        return boottime_s() - self.proven_s
+
+    async def run(self) -> None:
+        """Read on for ever."""
+        while True:
+            try:
+                await self._read()
+            except StoreHistoryLostError:
+                decision("history_lost", topic="operator", offset=self._next)
+                self._next = None
+            except StoreError as exc:
+                decision("directory_unread", why=str(exc), age_s=round(self.age_s, 2))
+                await asyncio.sleep(RETRY_DELAY_S)
+
+    async def _read(self) -> None:
+        began_s = boottime_s()
+        whole = self._next is None
+        if self._next is None:
+            page = await self._store.newest("operator")
+        else:
+            page = await self._store.read("operator", self._next, wait_s=READ_WAIT_S)
+        if whole:
+            present = {record.key for record in page.records}
+            for key in [one for one in self._records if one not in present]:
+                del self._records[key]
+        for record in page.records:
+            if self._offsets.get(record.key, -1) >= record.offset:
+                continue
+            self._offsets[record.key] = record.offset
+            if record.value:
+                self._records[record.key] = record.value
+            else:
+                self._records.pop(record.key, None)
+        if page.records or whole:
+            self._put_in_force()
+        self._next = page.next
+        if page.next >= page.end:
+            self.proven_s = max(self.proven_s, began_s)
+
+    def _put_in_force(self) -> None:
+        try:
+            built = self._build(self._records)
+        except ValueError as exc:
+            decision("directory_refused", why=str(exc), version=self.current.version)
+            return
+        if built.version < self.current.version:
+            decision("directory_refused", why="older", version=built.version)
+            return
+        if built != self.current:
+            self.current = built
+            decision(
+                "directory_in_force",
+                version=built.version,
+                zones_out=sorted(built.zones_out),
+            )
+            self._on_change()
+
+
+__all__ = ["DirectoryFollower"]
--- /dev/null
+++ b/src/hyssoprill/coordination/intake/entry.py
@@ -0,0 +1,180 @@
+"""The entry of durable jobs: replica, directory, intake and, in its term, planner."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any, Self
+
+from ...errors import StoreError
+from ...logs import decision
+from ...ports.store import Record
+from ...protocol.message import Message
+from ...protocol.upstream_messages import Referral, VmHeartbeat, VmReport
+from ...tasks import cancel_all
+from ...transport.frame import FrameCodec
+from ...transport.link import LinkHub
+from ..identity import new_incarnation
+from ..planner.planner import Planner
+from ..planner.replica import Replica
+from ..planner.term import TermKeeper
+from .directory import DirectoryFollower
+from .intake import Intake
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from ...ports.store import StorePort
+    from ...protocol.messages import Envelope
+    from ...transport.metrics import Metrics
+    from .directory import Build
+
+READY_AGE_S = 2.0
+"""With older knowledge of config or jobs, the balancer is told to go elsewhere."""
+ANNOUNCE_RETRY_S = 0.3
+MAX_PENDING_SENDS = 200
+
+
+class DurableEntry:
+    """Everything that one entry does for durable jobs.
+
+    Parameters
+    ----------
+    name, link_url : str
+        This entry, and where it listens for agents.
+    build : callable
+        Makes the operator's view from his records.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        link_port: int,
+        cluster_key: str,
+        store: StorePort,
+        build: Build,
+        metrics: Metrics,
+    ) -> None:
+        self.name = name
+        self.metrics = metrics
+        self.leaving = False
+        self._address = address
+        self._link_port = link_port
+        self._incarnation = new_incarnation()
+        self._codec = FrameCodec(cluster_key, name, self._incarnation)
+        self._store = store
+        self.replica = Replica(store, self._changed)
+        self.directory = DirectoryFollower(store, build, self._changed)
+        self.intake = Intake(store, self.replica)
+        self._planner: Planner | None = None
+        self._sends: dict[str, asyncio.Queue[Message]] = {}
+        self._stack = AsyncExitStack()
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def __aenter__(self) -> Self:
+        self._hub = await self._stack.enter_async_context(
+            LinkHub(self._codec, self._receive, self.metrics)
+        )
+        self.link_url = self._hub.listen(self._address, self._link_port)
+        self.keeper = TermKeeper(
+            self.name, self._incarnation, self.link_url, self._store, self.replica
+        )
+        self._planner = Planner(
+            self.replica, self.keeper, lambda: self.directory.current, self._send
+        )
+        for work in (
+            self.replica.run(),
+            self.directory.run(),
+            self.intake.run(),
+            self.keeper.hold(),
+            self._planner.run(),
+            self._announce(),
+        ):
+            self._spawn(work)
+        return self
+
+    async def __aexit__(self, *_exc_info: object) -> None:
+        await cancel_all(self._tasks)
+        await self._stack.aclose()
+
+    async def leave(self) -> None:
+        """Hand the term on and take no new connections."""
+        self.leaving = True
+        await self.keeper.resign()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers are served here."""
+        known = self.directory.current.version > 0
+        fresh = max(self.directory.age_s, self.replica.age_s) < READY_AGE_S
+        return known and fresh and not self.leaving
+
+    def _changed(self) -> None:
+        if self._planner is not None:
+            self._planner.wake()
+
+    async def _announce(self) -> None:
+        """Tell agents through the store where this entry listens."""
+        record = Record(self.name, self.link_url.encode())
+        while True:
+            try:
+                await self._store.append("members", [record])
+            except StoreError as exc:
+                decision("announcement_retried", why=str(exc))
+                await asyncio.sleep(ANNOUNCE_RETRY_S)
+                continue
+            return
+
+    async def _receive(self, envelope: Envelope) -> None:
+        await self._handle(envelope.body, envelope.sender)
+
+    @singledispatchmethod
+    async def _handle(self, _message: Message, _sender: str) -> None:
+        self.metrics.count("messages_unexpected")
+
+    @_handle.register
+    async def _(self, message: VmReport, sender: str) -> None:
+        if self.keeper.term and self._planner is not None:
+            self._planner.reported(message)
+        else:
+            self._refer(sender)
+
+    @_handle.register
+    async def _(self, message: VmHeartbeat, sender: str) -> None:
+        if self.keeper.term and self._planner is not None:
+            self._planner.heartbeat(message)
+        else:
+            self._refer(sender)
+
+    def _refer(self, sender: str) -> None:
+        term = self.replica.ledger.term
+        if term is not None:
+            self._send(sender, Referral(term.term, term.planner, term.link_url))
+
+    def _send(self, peer: str, message: Message) -> None:
+        """Queue a message, one task for each peer, so that none delays another."""
+        queue = self._sends.get(peer)
+        if queue is None:
+            queue = asyncio.Queue(MAX_PENDING_SENDS)
+            self._sends[peer] = queue
+            self._spawn(self._send_all(peer, queue))
+        try:
+            queue.put_nowait(message)
+        except asyncio.QueueFull:
+            self.metrics.count("messages_dropped")
+
+    async def _send_all(self, peer: str, queue: asyncio.Queue[Message]) -> None:
+        while True:
+            message = await queue.get()
+            if not await self._hub.send(peer, message):
+                self.metrics.count("messages_unsent")
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+__all__ = ["DurableEntry"]
--- /dev/null
+++ b/src/hyssoprill/coordination/intake/intake.py
@@ -0,0 +1,156 @@
+"""Takes jobs in, cancels them and tells what became of them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ...clock import boottime_s
+from ...errors import StoreInDoubtError, StoreRefusedError
+from ...logs import decision
+from ...ports.store import Record
+from ...state.ledger import CANCEL_PREFIX, JOB_PREFIX
+
+if TYPE_CHECKING:
+    from ...ports.store import StorePort
+    from ...protocol.job import Job
+    from ...state.ledger import JobEntry
+    from ..planner.replica import Replica
+
+MAX_BATCH = 100
+"""Records of one append of accepted jobs."""
+APPEND_TRIES = 2
+FRESH_S = 1.0
+"""An unknown job is said not to exist on evidence of at most this age."""
+CATCH_UP_S = 0.5
+
+
+class Intake:
+    """Answers for the jobs that callers bring to this entry.
+
+    Parameters
+    ----------
+    store : StorePort
+        Where jobs are stored before they are accepted.
+    replica : Replica
+        What is stored.
+    """
+
+    def __init__(self, store: StorePort, replica: Replica) -> None:
+        self._store = store
+        self._replica = replica
+        self._waiting: list[tuple[Record, asyncio.Future[None]]] = []
+        self._wake = asyncio.Event()
+
+    async def run(self) -> None:
+        """Append what callers brought, many records in one call; for ever."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._waiting:
+                batch = self._waiting[:MAX_BATCH]
+                del self._waiting[: len(batch)]
+                await self._append(batch)
+
+    async def accept(self, job: Job) -> None:
+        """Store a job; a repeat of its id changes nothing.
+
+        Raises
+        ------
+        StoreRefusedError
+            Where the job is surely not accepted.
+        StoreInDoubtError
+            Where it may have been accepted.
+        """
+        if job.id in self._replica.ledger.jobs:
+            decision("job_repeated", job=job.id, queue=job.queue)
+            return
+        began_s = boottime_s()
+        await self._put(Record(JOB_PREFIX + job.id, msgspec.json.encode(job)))
+        decision(
+            "job_accepted",
+            job=job.id,
+            queue=job.queue,
+            workspace=job.workspace,
+            tasks=[step.count for step in job.steps],
+            took_s=round(boottime_s() - began_s, 4),
+        )
+
+    async def cancel(self, job_id: str) -> bool:
+        """Store that a job is cancelled; return False where none is known.
+
+        Raises
+        ------
+        StoreError
+            Where it is not stored, or it is not known whether it exists.
+        """
+        entry = await self.find(job_id)
+        if entry is None:
+            return False
+        if not entry.is_over:
+            await self._put(Record(CANCEL_PREFIX + job_id, b"{}"))
+            decision("job_cancelled", job=job_id)
+        return True
+
+    async def find(self, job_id: str) -> JobEntry | None:
+        """Return a job, or None where none with that id is stored.
+
+        Raises
+        ------
+        StoreRefusedError
+            Where this entry does not know.
+        """
+        entry = self._replica.ledger.jobs.get(job_id)
+        if entry is None and self._replica.age_s > FRESH_S:
+            await asyncio.sleep(CATCH_UP_S)
+            entry = self._replica.ledger.jobs.get(job_id)
+            if entry is None and self._replica.age_s > FRESH_S:
+                raise StoreRefusedError(
+                    "the store was not read lately", remedy="ask again"
+                )
+        return entry
+
+    def count_waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue have no task started."""
+        return sum(
+            entry.job.queue == queue and not entry.has_started and not entry.is_over
+            for entry in self._replica.ledger.active.values()
+        )
+
+    async def _put(self, record: Record) -> None:
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append((record, fut))
+        self._wake.set()
+        await fut
+
+    async def _append(self, batch: list[tuple[Record, asyncio.Future[None]]]) -> None:
+        records = [record for record, _fut in batch]
+        doubt: StoreInDoubtError | None = None
+        for _ in range(APPEND_TRIES):
+            try:
+                offset = await self._store.append("jobs", records)
+            except StoreInDoubtError as exc:
+                doubt = exc
+                continue
+            except StoreRefusedError as exc:
+                _fail(batch, doubt or exc)
+                return
+            self._replica.wrote(offset, records)
+            for _record, fut in batch:
+                if not fut.done():
+                    fut.set_result(None)
+            return
+        _fail(batch, doubt)
+
+
+def _fail(
+    batch: list[tuple[Record, asyncio.Future[None]]], exc: Exception | None
+) -> None:
+    for _record, fut in batch:
+        if not fut.done() and exc is not None:
+            fut.set_exception(exc)
+
+
+__all__ = ["Intake"]
--- /dev/null
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -0,0 +1,105 @@
+"""Changes to steps that are to be stored together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from msgspec.structs import replace
+
+from ...ports.store import Record
+from ...state.ledger import DONE, FAILED, OPEN, WAITING, StepState, TaskState
+
+if TYPE_CHECKING:
+    from ...protocol.job import Step
+    from ...state.ledger import Ledger, StepKey
+
+_encoder = msgspec.json.Encoder()
+
+
+class Changes:
+    """New states of steps, on top of a ledger.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        What is stored; not changed.
+    """
+
+    def __init__(self, ledger: Ledger) -> None:
+        self._ledger = ledger
+        self._tasks: dict[StepKey, list[TaskState]] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._tasks)
+
+    def records(self) -> list[Record]:
+        """Return the records to append."""
+        return [
+            Record(key.record_key, _encoder.encode(StepState(tuple(tasks))))
+            for key, tasks in self._tasks.items()
+        ]
+
+    def task(self, key: StepKey, index: int) -> TaskState:
+        """Return a task with the changes so far."""
+        return self.tasks(key)[index]
+
+    def tasks(self, key: StepKey) -> tuple[TaskState, ...]:
+        """Return the tasks of a step with the changes so far."""
+        changed = self._tasks.get(key)
+        if changed is not None:
+            return tuple(changed)
+        entry = self._ledger.jobs[key.job_id]
+        return entry.step_state(key.occurrence, key.step).tasks
+
+    def start(self, key: StepKey, places: dict[int, str]) -> int:
+        """Open one run on each place; return the run's number."""
+        tasks = self._edit(key)
+        number = 1 + max(task.run for task in tasks)
+        for index, upstream in places.items():
+            tasks[index] = replace(
+                tasks[index], phase=OPEN, run=number, upstream=upstream
+            )
+        return number
+
+    def end(
+        self, key: StepKey, index: int, how: str, saved: str, *, max_attempts: int
+    ) -> None:
+        """Close the open run of a task.
+
+        A gang is done as soon as one task is, and a run of it fails but once.
+        """
+        step = self._step(key)
+        tasks = self._edit(key)
+        task = tasks[index]
+        if how == "done":
+            done_upto = range(len(tasks)) if step.gang else (index,)
+            for one in done_upto:
+                tasks[one] = TaskState(DONE, tasks[one].run)
+            return
+        failures = task.failures
+        failed_run = task.failed_run
+        if how == "failed" and failed_run != task.run:
+            failures += 1
+            failed_run = task.run
+        is_final = failures >= max_attempts and not step.long_running
+        tasks[index] = TaskState(FAILED if is_final else WAITING, task.run)
+        shared = range(len(tasks)) if step.gang else (index,)
+        for one in shared:
+            tasks[one] = replace(
+                tasks[one],
+                failures=failures,
+                saved=saved or task.saved,
+                failed_run=failed_run,
+            )
+
+    def _step(self, key: StepKey) -> Step:
+        return self._ledger.jobs[key.job_id].job.steps[key.step]
+
+    def _edit(self, key: StepKey) -> list[TaskState]:
+        if key not in self._tasks:
+            self._tasks[key] = list(self.tasks(key))
+        return self._tasks[key]
+
+
+__all__ = ["Changes"]
--- /dev/null
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -0,0 +1,102 @@
+"""The VMs that the planner hears from, and since when it does not."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ...clock import boottime_s
+from ...protocol.upstream_key import parse_upstream_key
+from ..upstream.authority import LAPSE_AFTER_S
+
+if TYPE_CHECKING:
+    from ...protocol.upstream_messages import UpstreamReport, VmReport
+
+FRESH_S = 1.6
+"""A VM that was not heard for this long gets no new starts."""
+
+
+@dataclass(slots=True)
+class VmState:
+    """One VM by its newest report.
+
+    Attributes
+    ----------
+    tick_s : float
+        The agent's clock at its newest message.
+    heard_s : float
+        The planner's clock at that message.
+    granted_s : float
+        The planner's clock when it last let the agent extend leases.
+    """
+
+    number: int = 0
+    tick_s: float = 0.0
+    heard_s: float = float("-inf")
+    granted_s: float = float("-inf")
+    upstreams: dict[str, UpstreamReport] = field(default_factory=dict)
+    gone: frozenset[str] = frozenset()
+    orders_applied: tuple[int, int] = (0, 0)
+
+
+class Fleet:
+    """All VMs, and which lifetimes may still run something."""
+
+    def __init__(self) -> None:
+        self.vms: dict[str, VmState] = {}
+        self.began_s = boottime_s()
+        self._held_s: dict[str, float] = {}
+
+    def restart(self) -> None:
+        """Forget all reports, at the start of a term."""
+        self.vms.clear()
+        self._held_s.clear()
+        self.began_s = boottime_s()
+
+    def reported(self, report: VmReport) -> VmState:
+        """Take in a whole report."""
+        vm = self.heard(report.vm, report.tick_s)
+        vm.number = report.number
+        vm.orders_applied = (report.term, report.orders)
+        for key, old in vm.upstreams.items():
+            self._held_s[old.key] = boottime_s()
+            self._held_s[key] = boottime_s()
+        vm.upstreams = {one.key: one for one in report.upstreams}
+        vm.gone = frozenset(report.gone)
+        return vm
+
+    def heard(self, name: str, tick_s: float) -> VmState:
+        """Note that a VM was heard."""
+        vm = self.vms.setdefault(name, VmState())
+        vm.heard_s = boottime_s()
+        vm.tick_s = tick_s
+        return vm
+
+    def is_fresh(self, name: str) -> bool:
+        """Tell whether a VM was heard lately enough to be given work."""
+        vm = self.vms.get(name)
+        return vm is not None and boottime_s() - vm.heard_s < FRESH_S
+
+    def find(self, key: str) -> UpstreamReport | None:
+        """Return the report of a lifetime that is present."""
+        vm = self.vms.get(key.partition("|")[0])
+        return vm.upstreams.get(key) if vm is not None else None
+
+    def why_over(self, key: str) -> str:
+        """Return why nothing can run on a lifetime any more, or ''."""
+        name = parse_upstream_key(key)
+        vm = self.vms.get(name.vm)
+        if vm is not None:
+            if key in vm.gone:
+                return "gone"
+            if any(parse_upstream_key(one).replaces(name) for one in vm.upstreams):
+                return "replaced"
+        last_s = self._held_s.get(key, self.began_s)
+        if vm is not None and key in vm.upstreams:
+            last_s = max(last_s, vm.granted_s)
+        if boottime_s() - last_s > LAPSE_AFTER_S:
+            return "lapsed"
+        return ""
+
+
+__all__ = ["Fleet", "VmState"]
--- /dev/null
+++ b/src/hyssoprill/coordination/planner/replica.py
@@ -0,0 +1,98 @@
+"""Keeps a ledger up to date from the store, and knows as of when it is true."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ...clock import boottime_s
+from ...errors import StoreError, StoreHistoryLostError
+from ...logs import decision
+from ...state.ledger import PLANNER_KEY, STEP_PREFIX, Ledger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ...ports.store import Record, StoredRecord, StorePort
+
+READ_WAIT_S = 0.8
+RETRY_DELAY_S = 0.2
+
+
+class Replica:
+    """This process's copy of the jobs topic.
+
+    Attributes
+    ----------
+    proven_s : float
+        All that was stored before this time is in the ledger.
+    planner_seen_s : float
+        When a record of the planner was last read.
+    end : int
+        Offset up to which the topic is in the ledger.
+    """
+
+    def __init__(self, store: StorePort, on_change: Callable[[], None]) -> None:
+        self.ledger = Ledger()
+        self.proven_s = float("-inf")
+        self.planner_seen_s = boottime_s()
+        self.end: int | None = None
+        self._store = store
+        self._on_change = on_change
+        self._reachable = True
+
+    @property
+    def age_s(self) -> float:
+        """How old what the ledger says may be."""
+        return boottime_s() - self.proven_s
+
+    async def run(self) -> None:
+        """Read on for ever."""
+        while True:
+            await self.read_once(READ_WAIT_S)
+
+    async def read_once(self, wait_s: float) -> None:
+        """Read what is new; return also where the store does not answer."""
+        began_s = boottime_s()
+        try:
+            if self.end is None:
+                page = await self._store.newest("jobs")
+                self.planner_seen_s = boottime_s()
+            else:
+                page = await self._store.read("jobs", self.end, wait_s=wait_s)
+        except StoreHistoryLostError:
+            decision("history_lost", topic="jobs", offset=self.end)
+            self.end = None
+            return
+        except StoreError as exc:
+            self._note_reachable(False, str(exc))
+            await asyncio.sleep(RETRY_DELAY_S)
+            return
+        self._note_reachable(True, "")
+        self.end = max(self.end or 0, page.next)
+        if page.next >= page.end:
+            self.proven_s = max(self.proven_s, began_s)
+        if self._apply(page.records):
+            self._on_change()
+
+    def wrote(self, offset: int, records: Iterable[Record]) -> None:
+        """Take in records that this process has appended."""
+        for position, record in enumerate(records):
+            self.ledger.apply(offset + position, record.key, record.value)
+
+    def _apply(self, records: Iterable[StoredRecord]) -> bool:
+        changed = False
+        for record in records:
+            if record.key == PLANNER_KEY or record.key.startswith(STEP_PREFIX):
+                self.planner_seen_s = boottime_s()
+            changed |= self.ledger.apply(record.offset, record.key, record.value)
+        return changed
+
+    def _note_reachable(self, reachable: bool, why: str) -> None:
+        if reachable != self._reachable:
+            event = "store_regained" if reachable else "store_lost"
+            decision(event, why=why, age_s=round(self.age_s, 2))
+        self._reachable = reachable
+
+
+__all__ = ["Replica"]
--- /dev/null
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -0,0 +1,225 @@
+"""Turns ledger and fleet into what the dispatch decisions are taken on."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ...clock import boottime_s
+from ...protocol.job import NOTHING
+from ...state.ledger import DONE, OPEN, WAITING, StepKey
+from ..policy.dispatch.view import (
+    ACCELERATOR_CORES,
+    RunningUnit,
+    UpstreamView,
+    WaitingStep,
+)
+from .suspicion import EXCLUDE_MARKS
+
+if TYPE_CHECKING:
+    from ...protocol.job import Step
+    from ...protocol.upstream_messages import UpstreamReport
+    from ...state.directory import Directory
+    from ...state.ledger import JobEntry, Ledger, StepState
+    from .fleet import Fleet
+    from .runs import RunNotes
+    from .suspicion import Suspicion
+
+RACK_LABEL_INDEX = 1
+"""Position of the rack among an upstream's labels."""
+
+
+@dataclass(slots=True)
+class Survey:
+    """Everything that one round of decisions needs."""
+
+    ledger: Ledger
+    fleet: Fleet
+    directory: Directory
+    notes: RunNotes
+    suspicion: Suspicion
+    waiting_since_s: dict[StepKey, float]
+
+    def upstreams(self) -> list[UpstreamView]:
+        """Return the upstreams that may get starts."""
+        views = []
+        now_s = boottime_s()
+        for name, vm in self.fleet.vms.items():
+            if not self.fleet.is_fresh(name):
+                continue
+            for report in vm.upstreams.values():
+                if not report.accepting or report.zone in self.directory.zones_out:
+                    continue
+                marks = self.suspicion.marks(report.key, now_s)
+                if marks < EXCLUDE_MARKS:
+                    views.append(self._view(report, marks))
+        return views
+
+    def _view(self, report: UpstreamReport, marks: int) -> UpstreamView:
+        used, leaving = NOTHING, NOTHING
+        for task, run in self.ledger.open_runs.get(report.key, {}).items():
+            need = self._step(run.step).need
+            used = used.plus(need)
+            if (task, run.run) in self.notes.stopping:
+                leaving = leaving.plus(need)
+        return UpstreamView(
+            report.key,
+            report.zone,
+            rack_of(report),
+            report.group,
+            frozenset(report.labels),
+            report.capacity,
+            report.capacity.minus(used),
+            leaving,
+            marks,
+        )
+
+    def waiting(self, now_ms: int) -> list[WaitingStep]:
+        """Return the steps with tasks that wait for a place."""
+        now_s = boottime_s()
+        found = []
+        claims = self._claims()
+        for entry in self.ledger.active.values():
+            if entry.is_over:
+                continue
+            for occurrence, number, step in entry.ready_steps(now_ms):
+                key = StepKey(entry.job.id, occurrence, number)
+                state = entry.step_state(occurrence, number)
+                indices = _waiting_indices(step, state)
+                if not indices:
+                    self.waiting_since_s.pop(key, None)
+                    continue
+                since_s = self.waiting_since_s.setdefault(key, now_s)
+                found.append(
+                    WaitingStep(
+                        key,
+                        entry.job,
+                        step,
+                        indices,
+                        _placed(state),
+                        now_s - since_s,
+                        _slack_s(entry, occurrence, now_ms),
+                        within_guarantee=entry.job.id in claims,
+                        avoid=self.suspicion.failed_on(entry.job.id),
+                        first_start=_is_first_start(state),
+                    )
+                )
+        return found
+
+    def units(self) -> list[RunningUnit]:
+        """Return what runs and is not being stopped."""
+        claims = self._claims()
+        units = []
+        for entry in self.ledger.active.values():
+            for (occurrence, number), state in entry.steps.items():
+                key = StepKey(entry.job.id, occurrence, number)
+                step = entry.job.steps[number]
+                units += self._units_of(entry, key, step, state, claims)
+        return units
+
+    def _units_of(
+        self,
+        entry: JobEntry,
+        key: StepKey,
+        step: Step,
+        state: StepState,
+        claims: set[str],
+    ) -> list[RunningUnit]:
+        indices = [
+            index for index, task in enumerate(state.tasks) if task.phase == OPEN
+        ]
+        groups = [indices] if step.gang else [[index] for index in indices]
+        units = []
+        for group in groups:
+            runs = [(key.task(index), state.tasks[index].run) for index in group]
+            if not runs or any(run in self.notes.stopping for run in runs):
+                continue
+            cores = step.need.millicores / 1000
+            cores += ACCELERATOR_CORES * step.need.accelerators
+            ran_s = boottime_s() - min(self.notes.began(run) for run in runs)
+            lost_s = 0.0 if step.checkpoints else ran_s
+            units.append(
+                RunningUnit(
+                    key,
+                    tuple(group),
+                    tuple(state.tasks[index].upstream for index in group),
+                    step.need,
+                    entry.job.priority,
+                    entry.job.workspace,
+                    lost_s * cores * len(group),
+                    entry.job.id in claims,
+                )
+            )
+        return units
+
+    def _claims(self) -> set[str]:
+        """Return the urgent jobs that their workspaces' guarantees cover."""
+        needs: dict[str, list[tuple[int, str, int]]] = defaultdict(list)
+        for entry in self.ledger.active.values():
+            job = entry.job
+            if job.priority == 0 and not entry.is_over:
+                total = sum(one.need.accelerators * one.count for one in job.steps)
+                needs[job.workspace].append((job.accepted_ms, job.id, total))
+        covered: set[str] = set()
+        for workspace, jobs in needs.items():
+            left = self.directory.guaranteed(workspace)
+            for _accepted_ms, job_id, total in sorted(jobs):
+                if total <= left:
+                    left -= total
+                    covered.add(job_id)
+        return covered
+
+    def _step(self, key: StepKey) -> Step:
+        return self.ledger.jobs[key.job_id].job.steps[key.step]
+
+
+def rack_of(report: UpstreamReport) -> str:
+    """Return the rack of an upstream, or '' where it tells none."""
+    labels = report.labels
+    return labels[RACK_LABEL_INDEX] if len(labels) > RACK_LABEL_INDEX else ""
+
+
+def _waiting_indices(step: Step, state: StepState) -> list[int]:
+    waiting = [i for i, task in enumerate(state.tasks) if task.phase == WAITING]
+    if step.gang and len(waiting) < step.count:
+        return []
+    return waiting
+
+
+def _placed(state: StepState) -> dict[str, int]:
+    placed: dict[str, int] = defaultdict(int)
+    for task in state.tasks:
+        if task.phase == OPEN:
+            placed[task.upstream] += 1
+    return placed
+
+
+def _is_first_start(state: StepState) -> bool:
+    return all(task.run == 0 or task.phase == DONE for task in state.tasks)
+
+
+def _slack_s(entry: JobEntry, occurrence: int, now_ms: int) -> float:
+    """Return how long the rest of a job may still wait and meet its objective."""
+    job = entry.job
+    chain_ms = _chain_ms(job.steps, entry, occurrence, left=False)
+    left_ms = _chain_ms(job.steps, entry, occurrence, left=True)
+    start_ms = max(job.accepted_ms, job.due_ms(occurrence))
+    objective_ms = start_ms + job.stretch * chain_ms + job.target_latency_ms
+    return (objective_ms - left_ms - now_ms) / 1000
+
+
+def _chain_ms(
+    steps: tuple[Step, ...], entry: JobEntry, occurrence: int, *, left: bool
+) -> int:
+    """Return the longest chain of estimated work, of all or of what is left."""
+    ends: list[int] = []
+    for number, step in enumerate(steps):
+        state = entry.steps.get((occurrence, number))
+        done = left and state is not None and state.is_done
+        own_ms = 0 if done else step.estimate_ms
+        ends.append(own_ms + max((ends[one] for one in step.after), default=0))
+    return max(ends, default=0)
+
+
+__all__ = ["Survey", "rack_of"]
--- /dev/null
+++ b/src/hyssoprill/coordination/policy/dispatch/placing.py
@@ -0,0 +1,171 @@
+"""Finds upstreams for the tasks of a step.
+
+Load pattern: tasks that need whole upstreams and gangs that need one rack arrive
+between many small ones. Small tasks go where least is left over, so that whole
+upstreams and racks stay free for the large.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ....protocol.job import Amounts
+    from .view import UpstreamView, WaitingStep
+
+    Room = Callable[[UpstreamView], Amounts]
+
+
+def free(upstream: UpstreamView) -> Amounts:
+    """Room that can be used at once."""
+    return upstream.free
+
+
+def soon_free(upstream: UpstreamView) -> Amounts:
+    """Room that is free now or when running stops are done."""
+    return upstream.free.plus(upstream.leaving)
+
+
+def usable(step: WaitingStep, upstreams: Iterable[UpstreamView]) -> list[UpstreamView]:
+    """Return the upstreams on which tasks of a step may run."""
+    label, group = step.step.label, step.job.group
+    return [
+        one
+        for one in upstreams
+        if one.group == group and (not label or label in one.labels)
+    ]
+
+
+def place_gang(
+    step: WaitingStep, candidates: list[UpstreamView], room: Room
+) -> list[UpstreamView] | None:
+    """Return an upstream for each task of a gang, or None where not all fit.
+
+    A gang that is slower on several racks gets the rack with least room to spare.
+    """
+    wanted = len(step.indices)
+    if step.step.rack_sensitive:
+        found = _tightest_rack(step, candidates, room, wanted)
+        if found is not None:
+            return found
+        if one_rack_is_possible(step, candidates):
+            return None
+    counts = _counts(step, candidates, room)
+    if sum(counts.values()) < wanted:
+        return None
+    return _fill(step, candidates, counts, wanted, room)
+
+
+def place_each(
+    step: WaitingStep, candidates: list[UpstreamView], room: Room
+) -> list[UpstreamView]:
+    """Return upstreams for as many tasks as fit, in the order of their indices."""
+    counts = _counts(step, candidates, room)
+    wanted = min(len(step.indices), sum(counts.values()))
+    return _fill(step, candidates, counts, wanted, room)
+
+
+def one_rack_is_possible(step: WaitingStep, candidates: list[UpstreamView]) -> bool:
+    """Tell whether an empty rack could hold all tasks of a step."""
+    totals: dict[str, int] = defaultdict(int)
+    for upstream in candidates:
+        fits = upstream.capacity.count(step.step.need, len(step.indices))
+        totals[upstream.rack] += _capped(step, upstream, fits)
+    return any(total >= len(step.indices) for total in totals.values())
+
+
+def take(step: WaitingStep, upstream: UpstreamView, room: Room) -> None:
+    """Account for one task of a step on an upstream."""
+    need = step.step.need
+    upstream.free = upstream.free.minus(need)
+    if room is soon_free:
+        short = [max(-amount, 0) for amount in upstream.free]
+        upstream.leaving = upstream.leaving.minus(type(need)(*short))
+        upstream.free = upstream.free.plus(type(need)(*short))
+    step.placed[upstream.key] = step.placed.get(upstream.key, 0) + 1
+
+
+def _capped(step: WaitingStep, upstream: UpstreamView, fits: int) -> int:
+    most = step.step.max_per_upstream
+    if most:
+        fits = min(fits, most - step.placed.get(upstream.key, 0))
+    return max(fits, 0)
+
+
+def _counts(
+    step: WaitingStep, candidates: list[UpstreamView], room: Room
+) -> dict[str, int]:
+    """Return how many tasks fit on each upstream."""
+    wanted = len(step.indices)
+    counts = {}
+    for upstream in candidates:
+        fits = _capped(step, upstream, room(upstream).count(step.step.need, wanted))
+        if fits:
+            counts[upstream.key] = fits
+    return counts
+
+
+def _tightest_rack(
+    step: WaitingStep, candidates: list[UpstreamView], room: Room, wanted: int
+) -> list[UpstreamView] | None:
+    counts = _counts(step, candidates, room)
+    racks: dict[str, list[UpstreamView]] = defaultdict(list)
+    for upstream in candidates:
+        if upstream.key in counts:
+            racks[upstream.rack].append(upstream)
+    best: list[UpstreamView] | None = None
+    best_rank: tuple[int, int] = (0, 0)
+    for members in racks.values():
+        total = sum(counts[one.key] for one in members)
+        if total < wanted:
+            continue
+        rank = (max(one.penalty for one in members), total)
+        if best is None or rank < best_rank:
+            best, best_rank = members, rank
+    return None if best is None else _fill(step, best, counts, wanted, room)
+
+
+def _fill(
+    step: WaitingStep,
+    candidates: list[UpstreamView],
+    counts: dict[str, int],
+    wanted: int,
+    room: Room,
+) -> list[UpstreamView]:
+    """Spread tasks over upstreams, best ones first."""
+    data_rack = step.step.data_rack
+
+    def rank(one: UpstreamView) -> tuple[bool, bool, int, int, int, str]:
+        left = room(one).minus(step.step.need)
+        return (
+            one.key in step.avoid,
+            bool(data_rack) and one.rack != data_rack,
+            one.penalty,
+            left.accelerators,
+            left.millicores,
+            one.key,
+        )
+
+    places: list[UpstreamView] = []
+    for upstream in sorted(
+        (one for one in candidates if counts.get(one.key)), key=rank
+    ):
+        taken = min(counts[upstream.key], wanted - len(places))
+        places += [upstream] * taken
+        if len(places) == wanted:
+            break
+    return places
+
+
+__all__ = [
+    "free",
+    "one_rack_is_possible",
+    "place_each",
+    "place_gang",
+    "soon_free",
+    "take",
+    "usable",
+]
--- /dev/null
+++ b/src/hyssoprill/coordination/policy/dispatch/view.py
@@ -0,0 +1,126 @@
+"""What the dispatch decisions are taken on, and what they are."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+from ....protocol.job import NOTHING, Amounts
+
+if TYPE_CHECKING:
+    from ....protocol.job import Job, Step
+    from ....state.ledger import StepKey
+
+ACCELERATOR_CORES = 8
+"""Cores that an accelerator counts as where work is weighed; from RULES, "Prices"."""
+
+
+@dataclass(slots=True)
+class UpstreamView:
+    """An upstream that may get starts.
+
+    Attributes
+    ----------
+    free : Amounts
+        Neither in use, nor promised to an earlier job of this round.
+    leaving : Amounts
+        In use by runs that are being stopped.
+    penalty : int
+        Upstreams with a lower penalty are preferred.
+    """
+
+    key: str
+    zone: str
+    rack: str
+    group: str
+    labels: frozenset[str]
+    capacity: Amounts
+    free: Amounts
+    leaving: Amounts = NOTHING
+    penalty: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RunningUnit:
+    """A task, or all of a gang, that runs and could be stopped.
+
+    Attributes
+    ----------
+    places : tuple of str
+        Upstream of each open task.
+    cost : float
+        Core seconds of work that are lost when it is stopped now.
+    """
+
+    step: StepKey
+    indices: tuple[int, ...]
+    places: tuple[str, ...]
+    need: Amounts
+    priority: int
+    workspace: str
+    cost: float
+    within_guarantee: bool = False
+
+
+@dataclass(slots=True)
+class WaitingStep:
+    """A step whose turn has come, with tasks that wait for a place.
+
+    Attributes
+    ----------
+    indices : list of int
+        The waiting tasks; all tasks of a gang wait together.
+    placed : dict
+        Number of its tasks on each upstream.
+    waited_s : float
+        Since its turn has come.
+    slack_s : float
+        Until the job can no longer finish within its objective.
+    within_guarantee : bool
+        Whether its workspace's guarantee covers it.
+    avoid : frozenset of str
+        Upstreams where its tasks failed lately.
+    """
+
+    key: StepKey
+    job: Job
+    step: Step
+    indices: list[int]
+    placed: dict[str, int]
+    waited_s: float
+    slack_s: float
+    within_guarantee: bool = False
+    avoid: frozenset[str] = frozenset()
+    first_start: bool = True
+
+
+class Placement(NamedTuple):
+    """A task to start on an upstream."""
+
+    step: StepKey
+    index: int
+    upstream: str
+
+
+@dataclass(slots=True)
+class Plan:
+    """Decisions of one round.
+
+    Attributes
+    ----------
+    stops : dict
+        Units to stop, by their step and first index, with the reason.
+    """
+
+    starts: list[Placement] = field(default_factory=list)
+    stops: list[tuple[RunningUnit, str]] = field(default_factory=list)
+
+
+__all__ = [
+    "ACCELERATOR_CORES",
+    "Placement",
+    "Plan",
+    "RunningUnit",
+    "UpstreamView",
+    "WaitingStep",
+]
--- /dev/null
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -0,0 +1,360 @@
+"""One lifetime of an upstream: holds its lease and carries out its orders."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from ...clock import boottime_s
+from ...errors import UpstreamGoneError, UpstreamSilentError
+from ...logs import decision
+from ...protocol.upstream_messages import UpstreamOrders, UpstreamReport
+from ...tasks import cancel_all
+from .authority import CLOCK_RATE_ERROR
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from ...ports.upstream import CheckIn, Listing, UpstreamPort
+    from ...protocol.upstream_key import UpstreamKey
+    from ...protocol.upstream_messages import RunOrder, RunRow
+    from .authority import Authority
+
+RunKey = tuple[str, int]
+
+HOLD_WAIT_S = 1.0
+HOLD_TIMEOUT_S = 2.5
+CALL_TIMEOUT_S = 1.0
+RETRY_DELAY_S = 0.15
+MIN_HOLD_INTERVAL_S = 0.05
+MIN_LEASE_S = 0.3
+MIN_STALL_S = 5.0
+"""A task whose progress stands still for this long is reported as stalled."""
+
+
+class UpstreamSession:
+    """Everything that the agent does with one lifetime of an upstream.
+
+    Parameters
+    ----------
+    key : UpstreamKey
+        Names the lifetime.
+    check_in : CheckIn
+        Newest check-in of the lifetime.
+    port : UpstreamPort
+        Calls the upstream.
+    authority : Authority
+        Bounds leases and starts.
+    on_change : callable
+        Called where the report has changed.
+    """
+
+    def __init__(
+        self,
+        key: UpstreamKey,
+        check_in: CheckIn,
+        port: UpstreamPort,
+        authority: Authority,
+        max_lease_s: float,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.key = key
+        self.check_in = check_in
+        self.gone = False
+        self._port = port
+        self._authority = authority
+        self._max_lease_s = max_lease_s
+        self._on_change = on_change
+        self._orders: UpstreamOrders | None = None
+        self._wanted: dict[RunKey, RunOrder] = {}
+        self._calls: dict[RunKey, tuple[str, asyncio.Task[None]]] = {}
+        self._started: set[RunKey] = set()
+        self._stop_answered_s: dict[RunKey, float] = {}
+        self._closed: set[RunKey] = set()
+        self._refused: dict[RunKey, str] = {}
+        self._listing: Listing | None = None
+        self._progress: dict[RunKey, tuple[int, float]] = {}
+        self._clock_ms = 0.0
+        self._clock_read_s = 0.0
+        self._lease_ends_s = 0.0
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._spawn(self._hold_loop())
+
+    async def close(self) -> None:
+        """End all calls."""
+        await cancel_all(self._tasks)
+        self._port.close()
+
+    def checked_in(self, check_in: CheckIn) -> None:
+        """Take in a newer check-in of the same lifetime."""
+        changed = _essence(check_in) != _essence(self.check_in)
+        self.check_in = check_in
+        if changed:
+            self._on_change()
+
+    def report(self) -> UpstreamReport:
+        """Return what the planner is told."""
+        listing, check_in = self._listing, self.check_in
+        now_s = boottime_s()
+        running = list(listing.running) if listing is not None else []
+        return UpstreamReport(
+            str(self.key),
+            check_in.group,
+            check_in.zone,
+            not check_in.draining and listing is not None,
+            check_in.capacity,
+            list(check_in.labels),
+            running,
+            list(listing.ended) if listing is not None else [],
+            sorted(self._closed),
+            [(task, run, why) for (task, run), why in sorted(self._refused.items())],
+            [key for key in map(_run_key, running) if self._is_stalled(key, now_s)],
+            check_in.remaining_ms,
+        )
+
+    # Orders
+
+    def ordered(self, orders: UpstreamOrders) -> None:
+        """Take in what is to run, replacing earlier orders."""
+        self._orders = orders
+        self._wanted = {(run.task, run.run): run for run in orders.runs}
+        stopping = set(orders.stopping)
+        self._closed &= stopping
+        self._stop_answered_s = {
+            key: at for key, at in self._stop_answered_s.items() if key in stopping
+        }
+        for key in [one for one in self._refused if one not in self._wanted]:
+            del self._refused[key]
+        self._started &= self._wanted.keys()
+        for key, order in self._wanted.items():
+            if key not in self._started and key not in self._refused:
+                self._call(key, "start", self._start, order)
+        for key in stopping:
+            if key not in self._stop_answered_s:
+                self._call(key, "stop", self._stop)
+        self._stop_strangers()
+
+    def _stop_strangers(self) -> None:
+        """Stop what runs without an order."""
+        if self._orders is None or self._listing is None:
+            return
+        known = self._wanted.keys() | set(self._orders.stopping)
+        for row in self._listing.running:
+            key = _run_key(row)
+            if key not in known and key not in self._calls:
+                decision("run_stopped", task=row.task, run=row.run, why="no order")
+                self._call(key, "stop", self._stop)
+
+    def _call(
+        self,
+        key: RunKey,
+        kind: str,
+        work: Callable[..., Coroutine[Any, Any, None]],
+        *args: Any,
+    ) -> None:
+        """Begin calls about a run; a stop takes the place of a start."""
+        under_way = self._calls.get(key)
+        if under_way is not None:
+            if under_way[0] == kind:
+                return
+            under_way[1].cancel()
+        task = self._spawn(work(key, *args))
+        self._calls[key] = (kind, task)
+        task.add_done_callback(lambda done: self._call_ended(key, done))
+
+    def _call_ended(self, key: RunKey, task: asyncio.Task[None]) -> None:
+        if key in self._calls and self._calls[key][1] is task:
+            del self._calls[key]
+
+    async def _start(self, key: RunKey, order: RunOrder) -> None:
+        """Start a run until it is accepted or refused, or no longer wanted."""
+        while key in self._wanted and not self.gone:
+            reason = self._why_not_now()
+            if reason == "draining":
+                self._refuse(key, reason)
+                return
+            if reason:
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            try:
+                answer = await self._port.start(
+                    order,
+                    term=self._authority.term,
+                    lease_until_ms=self._lease_until_ms(),
+                    timeout_s=CALL_TIMEOUT_S,
+                )
+            except UpstreamSilentError as exc:
+                decision("start_in_doubt", task=key[0], run=key[1], why=str(exc))
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            except UpstreamGoneError:
+                self._lost("another lifetime answered a start")
+                return
+            if answer.accepted:
+                self._started.add(key)
+                decision("run_started", task=key[0], run=key[1], term=self.term)
+                return
+            if answer.reason == "late":
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            self._refuse(key, answer.reason)
+            return
+
+    def _refuse(self, key: RunKey, reason: str) -> None:
+        decision("start_refused", task=key[0], run=key[1], why=reason)
+        self._refused[key] = reason
+        self._on_change()
+
+    @property
+    def term(self) -> int:
+        """Term under which calls are made."""
+        return self._authority.term
+
+    def _why_not_now(self) -> str:
+        if self.check_in.draining:
+            return "draining"
+        if not self._authority.may_start:
+            return "planner not heard lately"
+        if self._listing is None or self._authority.lease_left_s < MIN_LEASE_S:
+            return "no lease"
+        return ""
+
+    async def _stop(self, key: RunKey) -> None:
+        """Stop a run until the upstream has confirmed it."""
+        while not self.gone:
+            try:
+                done = await self._port.stop(
+                    *key, term=self._authority.term, timeout_s=CALL_TIMEOUT_S
+                )
+            except UpstreamSilentError as exc:
+                decision("stop_in_doubt", task=key[0], run=key[1], why=str(exc))
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            except UpstreamGoneError:
+                self._lost("another lifetime answered a stop")
+                return
+            if done:
+                self._stop_answered_s[key] = boottime_s()
+                return
+            await asyncio.sleep(RETRY_DELAY_S)
+
+    # The lease
+
+    async def _hold_loop(self) -> None:
+        while not self.gone:
+            sent_s = boottime_s()
+            try:
+                listing = await self._hold()
+            except UpstreamGoneError:
+                self._lost("another lifetime answered")
+                return
+            except UpstreamSilentError:
+                if self._lease_has_lapsed():
+                    self._lost("no answer since its lease lapsed")
+                    return
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            self._listed(listing, sent_s)
+            await asyncio.sleep(MIN_HOLD_INTERVAL_S)
+
+    async def _hold(self) -> Listing:
+        first = self._listing is None
+        lease_s = min(self._max_lease_s, self._authority.lease_left_s)
+        until_ms = None
+        if not first and lease_s > MIN_LEASE_S:
+            until_ms = self._lease_until_ms()
+            ends_s = boottime_s() + HOLD_TIMEOUT_S + lease_s * (1 + CLOCK_RATE_ERROR)
+            self._lease_ends_s = max(self._lease_ends_s, ends_s)
+        return await self._port.hold(
+            term=self._authority.term,
+            acked_upto=self._orders.acked_upto if self._orders is not None else 0,
+            lease_until_ms=until_ms,
+            wait_s=0.0 if first else HOLD_WAIT_S,
+            timeout_s=HOLD_TIMEOUT_S,
+        )
+
+    def _lease_has_lapsed(self) -> bool:
+        return self._lease_ends_s > 0 and boottime_s() > self._lease_ends_s
+
+    def _lease_until_ms(self) -> int:
+        """Return the end of the lease on the upstream's clock."""
+        now_ms = self._clock_ms + (boottime_s() - self._clock_read_s) * 1000
+        lease_s = min(self._max_lease_s, self._authority.lease_left_s)
+        return int(now_ms + lease_s * 1000)
+
+    def _listed(self, listing: Listing, sent_s: float) -> None:
+        """Take in a list that was asked for at `sent_s`."""
+        if listing.born_ms and listing.born_ms != self.key.born_ms:
+            self._lost("its list names another start")
+            return
+        before = self._listing
+        self._clock_ms, self._clock_read_s = listing.clock_ms, boottime_s()
+        self._listing = listing
+        stalled_before = self._note_progress(listing)
+        present = {_run_key(row) for row in listing.running}
+        present |= {(row.task, row.run) for row in listing.ended}
+        closed = {
+            key
+            for key, at in self._stop_answered_s.items()
+            if at < sent_s and key not in present
+        }
+        news = closed - self._closed
+        self._closed |= closed
+        self._stop_strangers()
+        rows_changed = before is None or (
+            before.ended != listing.ended
+            or {_run_key(row) for row in before.running}
+            != {_run_key(row) for row in listing.running}
+        )
+        if news or rows_changed or stalled_before:
+            self._on_change()
+
+    def _note_progress(self, listing: Listing) -> bool:
+        """Note how far tasks are; return whether one has newly stalled."""
+        now_s = boottime_s()
+        kept: dict[RunKey, tuple[int, float]] = {}
+        newly = False
+        for row in listing.running:
+            key = _run_key(row)
+            known = self._progress.get(key)
+            if known is not None and known[0] == row.percent:
+                kept[key] = known
+                waited_s = now_s - known[1]
+                newly |= MIN_STALL_S <= waited_s < MIN_STALL_S + 2 * HOLD_WAIT_S
+            else:
+                kept[key] = (row.percent, now_s)
+        self._progress = kept
+        return newly
+
+    def _is_stalled(self, key: RunKey, now_s: float) -> bool:
+        known = self._progress.get(key)
+        return known is not None and now_s - known[1] >= MIN_STALL_S
+
+    def _lost(self, why: str) -> None:
+        decision("upstream_gone", upstream=str(self.key), why=why)
+        self.gone = True
+        self._on_change()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _run_key(row: RunRow) -> RunKey:
+    return row.task, row.run
+
+
+def _essence(check_in: CheckIn) -> tuple[object, ...]:
+    """Return what of a check-in the planner acts on."""
+    return (
+        check_in.draining,
+        check_in.capacity,
+        check_in.labels,
+        check_in.group,
+        check_in.zone,
+    )
+
+
+__all__ = ["UpstreamSession"]
--- /dev/null
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -0,0 +1,296 @@
+"""The agent of one VM: reports its upstreams and passes the planner's orders on."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any, Self
+
+from ...clock import boottime_s
+from ...errors import StoreError
+from ...logs import decision
+from ...protocol.message import Message
+from ...protocol.upstream_key import UpstreamKey, parse_upstream_key
+from ...protocol.upstream_messages import (
+    Grant,
+    Referral,
+    VmHeartbeat,
+    VmOrders,
+    VmReport,
+)
+from ...tasks import cancel_all
+from ...transport.frame import FrameCodec
+from ...transport.link import LinkHub
+from ..identity import new_incarnation
+from .authority import Authority
+from .session import UpstreamSession
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from ...ports.store import StorePort
+    from ...ports.upstream import CheckIn, UpstreamPort
+    from ...protocol.messages import Envelope
+    from ...transport.metrics import Metrics
+
+    PortFactory = Callable[[CheckIn], UpstreamPort]
+
+HEARTBEAT_INTERVAL_S = 0.6
+PLANNER_SILENCE_S = 1.0
+"""After this without an answer other entries are asked who plans."""
+MEMBERS_WAIT_S = 20.0
+MEMBERS_RETRY_S = 1.0
+
+
+class VmAgent:
+    """Everything that runs beside the upstreams of one VM.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    cluster_key : str
+        Seals the links.
+    store : StorePort
+        Lists the entries.
+    open_port : callable
+        Opens the port of an upstream from its check-in.
+    max_lease_s : float
+        Longest lease that an upstream takes.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        cluster_key: str,
+        store: StorePort,
+        open_port: PortFactory,
+        metrics: Metrics,
+        *,
+        max_lease_s: float,
+    ) -> None:
+        self.vm = vm
+        self.metrics = metrics
+        self._cluster_key = cluster_key
+        self._store = store
+        self._open_port = open_port
+        self._max_lease_s = max_lease_s
+        self._authority = Authority()
+        self._sessions: dict[UpstreamKey, UpstreamSession] = {}
+        self._gone: list[UpstreamKey] = []
+        self._entries: dict[str, str] = {}
+        self._planner = ""
+        self._planner_heard_s = float("-inf")
+        self._number = 1
+        self._orders = (0, 0)
+        self._news = asyncio.Event()
+        self._stack = AsyncExitStack()
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def __aenter__(self) -> Self:
+        codec = FrameCodec(self._cluster_key, self.vm, new_incarnation())
+        self._hub = await self._stack.enter_async_context(
+            LinkHub(codec, self._receive, self.metrics)
+        )
+        for work in (self._follow_members(), self._report_loop()):
+            self._spawn(work)
+        return self
+
+    async def __aexit__(self, *_exc_info: object) -> None:
+        await cancel_all(self._tasks)
+        for session in self._sessions.values():
+            await session.close()
+        await self._stack.aclose()
+
+    # Check-ins
+
+    def checked_in(self, check_in: CheckIn) -> bool:
+        """Take in a check-in; return False where it is of an ended lifetime."""
+        key = UpstreamKey(self.vm, check_in.address, check_in.born_ms, check_in.id)
+        if key in self._gone or any(one.replaces(key) for one in self._sessions):
+            return False
+        session = self._sessions.get(key)
+        if session is not None:
+            if check_in.number > session.check_in.number:
+                session.checked_in(check_in)
+            return True
+        for older in [one for one in self._sessions if key.replaces(one)]:
+            self._end(older, "a later lifetime checked in")
+        decision("upstream_found", upstream=str(key), zone=check_in.zone)
+        self._sessions[key] = UpstreamSession(
+            key,
+            check_in,
+            self._open_port(check_in),
+            self._authority,
+            self._max_lease_s,
+            self._changed,
+        )
+        self._changed()
+        return True
+
+    def left(self, upstream_id: str) -> None:
+        """Take in that an upstream has left; everything on it has ended."""
+        for key in [one for one in self._sessions if one.id == upstream_id]:
+            self._end(key, "it left")
+
+    def knows(self, upstream_id: str) -> bool:
+        """Tell whether a lifetime with this id is known."""
+        return any(one.id == upstream_id for one in self._sessions)
+
+    def _end(self, key: UpstreamKey, why: str) -> None:
+        decision("upstream_ended", upstream=str(key), why=why)
+        session = self._sessions.pop(key)
+        session.gone = True
+        self._gone.append(key)
+        del self._gone[:-8]
+        self._spawn(session.close())
+        self._changed()
+
+    def _changed(self) -> None:
+        self._number += 1
+        self._news.set()
+
+    # The planner
+
+    async def _receive(self, envelope: Envelope) -> None:
+        await self._handle(envelope.body, envelope.sender)
+
+    @singledispatchmethod
+    async def _handle(self, _message: Message, _sender: str) -> None:
+        self.metrics.count("messages_unexpected")
+
+    @_handle.register
+    async def _(self, message: Grant, sender: str) -> None:
+        if not self._authority.heard(message.term, message.echo_s):
+            return
+        self._heard(sender)
+        if message.seen != self._number:
+            await self._send_report()
+
+    @_handle.register
+    async def _(self, message: VmOrders, sender: str) -> None:
+        if (message.term, message.number) <= self._orders:
+            return
+        if not self._authority.heard(message.term, message.echo_s):
+            return
+        self._heard(sender)
+        self._orders = (message.term, message.number)
+        for orders in message.upstreams:
+            session = self._sessions.get(parse_upstream_key(orders.key))
+            if session is not None:
+                session.ordered(orders)
+
+    @_handle.register
+    async def _(self, message: Referral, sender: str) -> None:
+        if not message.planner or message.planner == sender:
+            return
+        self._entries[message.planner] = message.link_url
+        if message.term >= self._authority.term and message.planner != self._planner:
+            self._choose(message.planner)
+            await self._send_report()
+
+    def _heard(self, sender: str) -> None:
+        if self._planner_heard_s < boottime_s() - PLANNER_SILENCE_S:
+            decision("planner_found", planner=sender, term=self._authority.term)
+        self._planner = sender
+        self._planner_heard_s = boottime_s()
+
+    def _choose(self, name: str) -> None:
+        self._planner = name
+        self._hub.dial(name, self._entries[name])
+
+    async def _report_loop(self) -> None:
+        """Report changes at once, and otherwise that nothing has changed."""
+        silent_since_s = boottime_s()
+        while True:
+            try:
+                await asyncio.wait_for(self._news.wait(), HEARTBEAT_INTERVAL_S)
+            except TimeoutError:
+                pass
+            changed = self._news.is_set()
+            self._news.clear()
+            self._drop_gone()
+            last_s = max(self._planner_heard_s, silent_since_s)
+            if boottime_s() - last_s > PLANNER_SILENCE_S:
+                silent_since_s = boottime_s()
+                self._try_next_entry()
+            if changed:
+                await self._send_report()
+            else:
+                await self._send(
+                    VmHeartbeat(self.vm, boottime_s(), self._number, *self._orders)
+                )
+
+    def _drop_gone(self) -> None:
+        for key in [key for key, one in self._sessions.items() if one.gone]:
+            self._end(key, "its lifetime is over")
+
+    def _try_next_entry(self) -> None:
+        names = sorted(self._entries)
+        if not names:
+            return
+        later = [name for name in names if name > self._planner]
+        if self._planner in self._hub.dialled_urls:
+            decision("planner_lost", planner=self._planner, term=self._authority.term)
+            self._hub.hang_up(self._planner)
+        self._choose(later[0] if later else names[0])
+
+    async def _send_report(self) -> None:
+        await self._send(
+            VmReport(
+                self.vm,
+                boottime_s(),
+                self._number,
+                *self._orders,
+                [session.report() for session in self._sessions.values()],
+                [str(key) for key in self._gone],
+            )
+        )
+
+    async def _send(self, message: Message) -> None:
+        if self._planner:
+            await self._hub.send(self._planner, message)
+
+    # Entries
+
+    async def _follow_members(self) -> None:
+        """Keep the list of entries up to date from the store."""
+        offset: int | None = None
+        while True:
+            try:
+                if offset is None:
+                    page = await self._store.newest("members")
+                else:
+                    page = await self._store.read(
+                        "members", offset, wait_s=MEMBERS_WAIT_S
+                    )
+            except StoreError as exc:
+                decision("members_unread", why=str(exc))
+                offset = None
+                await asyncio.sleep(MEMBERS_RETRY_S)
+                continue
+            offset = page.next
+            for record in page.records:
+                self._learn_entry(record.key, record.value.decode())
+            if not page.records:
+                await asyncio.sleep(0)
+
+    def _learn_entry(self, name: str, url: str) -> None:
+        if not url:
+            self._entries.pop(name, None)
+            return
+        self._entries[name] = url
+        if name in self._hub.dialled_urls:
+            self._hub.dial(name, url)
+        if not self._planner:
+            self._choose(name)
+            self._news.set()
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+__all__ = ["VmAgent"]
--- a/src/hyssoprill/errors.py
+++ b/src/hyssoprill/errors.py
@@ -77,6 +77,62 @@
     http_status = 503
 
 
+class StoreError(HyssoprillError):
+    """The store did not do what was asked."""
+
+    code = "store_error"
+    http_status = 503
+
+
+class StoreRefusedError(StoreError):
+    """The store refused a call and did nothing."""
+
+    code = "store_refused"
+
+
+class StoreInDoubtError(StoreError):
+    """No usable answer came; the call may have been or may yet be carried out."""
+
+    code = "store_in_doubt"
+    http_status = 504
+
+
+class StoreMovedError(StoreError):
+    """The topic does not end where the caller expected."""
+
+    code = "store_moved"
+
+
+class StoreFencedError(StoreError):
+    """A writer of a higher term has written."""
+
+    code = "store_fenced"
+
+
+class StoreHistoryLostError(StoreError):
+    """The records asked for are no longer kept."""
+
+    code = "store_history_lost"
+
+
+class UpstreamError(HyssoprillError):
+    """A call to an upstream failed."""
+
+    code = "upstream_error"
+
+
+class UpstreamGoneError(UpstreamError):
+    """Another lifetime of the upstream answered."""
+
+    code = "upstream_gone"
+
+
+class UpstreamSilentError(UpstreamError):
+    """No usable answer came; the call may yet be carried out."""
+
+    code = "upstream_silent"
+
+
 class WorkerError(HyssoprillError):
     """The worker refused an operation or gave an unusable answer."""
 
@@ -97,6 +153,15 @@
     "InvalidRequestError",
     "LogUnavailableError",
     "SettingsError",
+    "StoreError",
+    "StoreFencedError",
+    "StoreHistoryLostError",
+    "StoreInDoubtError",
+    "StoreMovedError",
+    "StoreRefusedError",
+    "UpstreamError",
+    "UpstreamGoneError",
+    "UpstreamSilentError",
     "WorkerError",
     "WorkerRefusedError",
 ]
--- /dev/null
+++ b/src/hyssoprill/job_settings.py
@@ -0,0 +1,94 @@
+"""Checked JSON settings of the roles that serve durable jobs."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from .settings import HexKey
+
+Address = Annotated[str, Meta(pattern=r"^[^:/\s]+:\d{1,5}$")]
+VmName = Annotated[str, Meta(min_length=1, max_length=64)]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Milliseconds = Annotated[int, Meta(ge=1)]
+Seconds = Annotated[float, Meta(gt=0)]
+
+
+class StoreSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the store is and what it takes.
+
+    Attributes
+    ----------
+    record_bytes, request_bytes : int
+        Largest record, and most bytes of records in one append.
+    """
+
+    address: Address
+    record_bytes: Annotated[int, Meta(ge=1024)] = 262_144
+    request_bytes: Annotated[int, Meta(ge=1024)] = 2_097_152
+
+
+class JobBounds(Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds that the operator promises to callers.
+
+    Attributes
+    ----------
+    max_lease_ms : int
+        Longest lease that an upstream takes.
+    key_revocation_ms : int
+        A key that was taken away serves no longer than this.
+    stop_grace_s : float
+        From SIGTERM until the process is killed.
+    state_kept_s : float
+        For how long callers may ask for a job that is over.
+    """
+
+    max_lease_ms: Milliseconds
+    key_revocation_ms: Milliseconds
+    stop_grace_s: Seconds
+    state_kept_s: Seconds = 120.0
+
+
+class JobEntrySettings(
+    Struct, frozen=True, forbid_unknown_fields=True, tag_field="role", tag="job-entry"
+):
+    """Settings of an entry for durable jobs."""
+
+    name: VmName
+    availability_zone: VmName
+    cluster_key: HexKey
+    address: VmName
+    link_port: Port
+    metrics_port: Port
+    callers_address: Address
+    readiness_address: Address
+    store: StoreSettings
+    bounds: JobBounds
+
+
+class JobAgentSettings(
+    Struct, frozen=True, forbid_unknown_fields=True, tag_field="role", tag="job-agent"
+):
+    """Settings of an agent for durable jobs."""
+
+    name: VmName
+    availability_zone: VmName
+    cluster_key: HexKey
+    address: VmName
+    metrics_port: Port
+    check_in_address: Address
+    upstream_address: Address
+    store: StoreSettings
+    bounds: JobBounds
+
+
+JobSettings = JobEntrySettings | JobAgentSettings
+
+__all__ = [
+    "JobAgentSettings",
+    "JobBounds",
+    "JobEntrySettings",
+    "JobSettings",
+    "StoreSettings",
+]
--- a/src/hyssoprill/logs.py
+++ b/src/hyssoprill/logs.py
@@ -1,16 +1,84 @@
-"""Log lines of the daemon, as JSON or text."""
+"""Log lines of the daemon, as JSON or text, and one line for each decision.
+
+Decision lines go to standard output. They are bounded for each kind and second, and
+a reader that does not keep up costs lines, never time; both are counted.
+"""
 
 from __future__ import annotations
 
+import os
 import sys
-from typing import TYPE_CHECKING
+import time
+from collections import Counter
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any
 
+import msgspec
 from loguru import logger
 
+from .clock import unix_ms
+
 if TYPE_CHECKING:
     from .settings import LoggingSettings
 
 TEXT_FORMAT = "{time:HH:mm:ss.SSS} {level} {extra[process]} {message}"
+MAX_LINES_PER_KIND_S = 200
+"""Decision lines of one kind in a second; the rest is counted as dropped."""
+STDOUT_FD = 1
+
+
+class DecisionLog:
+    """Writes decision lines without ever waiting for their reader."""
+
+    def __init__(self) -> None:
+        self.process = ""
+        self.enabled = False
+        self.dropped = 0
+        self._window_s = 0.0
+        self._written: Counter[str] = Counter()
+
+    def write(self, event: str, fields: dict[str, Any]) -> None:
+        """Write one line, or count it as dropped."""
+        if not self.enabled:
+            return
+        now_s = time.monotonic()
+        if now_s - self._window_s >= 1.0:
+            self._window_s = now_s
+            self._written.clear()
+        self._written[event] += 1
+        if self._written[event] > MAX_LINES_PER_KIND_S:
+            self.dropped += 1
+            return
+        line = {"at_ms": unix_ms(), "process": self.process, "event": event, **fields}
+        try:
+            os.write(STDOUT_FD, msgspec.json.encode(line) + b"\n")
+        except OSError:
+            self.dropped += 1
+
+
+_decisions = DecisionLog()
+
+
+def decision(event: str, **fields: Any) -> None:
+    """Log what was decided or has changed, with the inputs that decided it.
+
+    Parameters
+    ----------
+    event : str
+        What was decided, in past tense: `job_accepted`.
+    **fields
+        The id concerned, the inputs and their age or version, and the outcome.
+    """
+    _decisions.write(event, fields)
+
+
+def set_up_decisions(process: str) -> DecisionLog:
+    """Begin to write decision lines to standard output."""
+    with suppress(OSError):
+        os.set_blocking(STDOUT_FD, False)
+    _decisions.process = process
+    _decisions.enabled = True
+    return _decisions
 
 
 def set_up_logs(cfg: LoggingSettings, process: str) -> None:
@@ -23,4 +91,4 @@
         logger.add(sys.stderr, level=cfg.level, format=TEXT_FORMAT)
 
 
-__all__ = ["set_up_logs"]
+__all__ = ["DecisionLog", "decision", "set_up_decisions", "set_up_logs"]
--- /dev/null
+++ b/src/hyssoprill/ports/upstream.py
@@ -0,0 +1,102 @@
+"""Port of one upstream: the program that runs tasks on a VM."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from ..protocol.job import NOTHING, Amounts
+
+if TYPE_CHECKING:
+    from ..protocol.upstream_messages import EndRow, RunOrder, RunRow
+
+
+@dataclass(frozen=True, slots=True)
+class CheckIn:
+    """What an upstream says of itself.
+
+    Attributes
+    ----------
+    born_ms : int
+        Start of this lifetime, in milliseconds since 1970.
+    number : int
+        Rises with each check-in of a lifetime.
+    remaining_ms : int
+        Least time that a draining upstream stays; -1 where not told.
+    """
+
+    id: str
+    born_ms: int
+    number: int
+    address: str
+    group: str
+    zone: str
+    draining: bool
+    capacity: Amounts = NOTHING
+    labels: tuple[str, ...] = ()
+    remaining_ms: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """What an upstream runs and what has ended there.
+
+    Attributes
+    ----------
+    clock_ms : int
+        The upstream's own clock at the answer.
+    born_ms : int
+        Start of the lifetime that answered, 0 where not told.
+    """
+
+    clock_ms: int
+    running: tuple[RunRow, ...]
+    ended: tuple[EndRow, ...]
+    born_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """Answer to a start: accepted, or refused for a reason."""
+
+    accepted: bool
+    reason: str
+    clock_ms: int = 0
+
+
+class UpstreamPort(Protocol):
+    """One lifetime of an upstream.
+
+    All calls raise `UpstreamGoneError` where another lifetime answers and
+    `UpstreamSilentError` where no usable answer came; the call may then be
+    carried out seconds later.
+    """
+
+    async def start(
+        self, order: RunOrder, *, term: int, lease_until_ms: int, timeout_s: float
+    ) -> StartAnswer:
+        """Start a run; also accepted where it runs already."""
+        ...
+
+    async def stop(self, task: str, run: int, *, term: int, timeout_s: float) -> bool:
+        """Stop a run, or make sure that it never starts; False where refused."""
+        ...
+
+    async def hold(
+        self,
+        *,
+        term: int,
+        acked_upto: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+        timeout_s: float,
+    ) -> Listing:
+        """Extend the lease of all runs and list them."""
+        ...
+
+    def close(self) -> None:
+        """Close all connections."""
+        ...
+
+
+__all__ = ["CheckIn", "Listing", "StartAnswer", "UpstreamPort"]
--- a/src/hyssoprill/protocol/messages.py
+++ b/src/hyssoprill/protocol/messages.py
@@ -11,13 +11,11 @@
 from msgspec import Meta, Struct
 
 from ..errors import FrameError
+from .message import Message
 from .outcome import Outcome
 from .request import JobSpec
 from .shape import Resources
-
-
-class Message(Struct, frozen=True, array_like=True, tag=True):
-    """Base of all messages."""
+from .upstream_messages import Grant, Referral, VmHeartbeat, VmOrders, VmReport
 
 
 class EntryAddress(Struct, frozen=True, array_like=True):
@@ -280,6 +278,11 @@
     | OutcomeQuery
     | OutcomeAnswer
     | CancelRequest
+    | VmReport
+    | VmHeartbeat
+    | VmOrders
+    | Grant
+    | Referral
 )
 
 
--- /dev/null
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -0,0 +1,165 @@
+"""Messages between the planner and the agents of durable jobs.
+
+An agent reports what its upstreams run; the planner answers with what they are to
+run. Both are whole states with a number, so that a lost message does no harm.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from .job import NOTHING, Amounts
+from .message import Message
+
+
+class RunRow(Struct, frozen=True, array_like=True):
+    """A run that an upstream lists as running."""
+
+    task: str
+    run: int
+    saved: str
+    percent: int
+
+
+class EndRow(Struct, frozen=True, array_like=True):
+    """A run that an upstream lists as ended, with the number of that end."""
+
+    number: int
+    task: str
+    run: int
+    how: str
+    saved: str
+
+
+class UpstreamReport(Struct, frozen=True, array_like=True):
+    """One upstream as its agent sees it.
+
+    Attributes
+    ----------
+    key : str
+        Names one lifetime of the upstream.
+    closed : list of tuple
+        Runs of `stopping` that can never start any more and left no end.
+    refused : list of tuple
+        Runs that the upstream refused to start, with the reason.
+    """
+
+    key: str
+    group: str
+    zone: str
+    accepting: bool
+    capacity: Amounts = NOTHING
+    labels: list[str] = []
+    running: list[RunRow] = []
+    ended: list[EndRow] = []
+    closed: list[tuple[str, int]] = []
+    refused: list[tuple[str, int, str]] = []
+    stalled: list[tuple[str, int]] = []
+    remaining_ms: int = -1
+
+
+class VmReport(Message):
+    """All upstreams of one VM, and the lifetimes known to have ended.
+
+    Attributes
+    ----------
+    tick_s : float
+        The agent's clock when the report was sent.
+    number : int
+        Rises with each change of the report.
+    """
+
+    vm: str
+    tick_s: float
+    number: int
+    term: int
+    orders: int
+    upstreams: list[UpstreamReport]
+    gone: list[str]
+
+
+class VmHeartbeat(Message):
+    """Says that a report still holds and which orders are in force."""
+
+    vm: str
+    tick_s: float
+    number: int
+    term: int
+    orders: int
+
+
+class RunOrder(Struct, frozen=True, array_like=True):
+    """A run that is to be on an upstream."""
+
+    task: str
+    run: int
+    payload: str
+    saved: str
+
+
+class UpstreamOrders(Struct, frozen=True, array_like=True):
+    """Everything that one upstream is to run.
+
+    Attributes
+    ----------
+    stopping : list of tuple
+        Runs that are to end and whose end is not stored yet.
+    acked_upto : int
+        Ends up to this number are stored.
+    """
+
+    key: str
+    runs: list[RunOrder]
+    stopping: list[tuple[str, int]]
+    acked_upto: int
+
+
+class VmOrders(Message):
+    """What the upstreams of one VM are to run, replacing earlier orders.
+
+    Attributes
+    ----------
+    echo_s : float
+        The newest `tick_s` that the planner had from the agent.
+    """
+
+    term: int
+    number: int
+    echo_s: float
+    upstreams: list[UpstreamOrders]
+
+
+class Grant(Message):
+    """Says until when the agent may extend leases: from its own tick on.
+
+    Attributes
+    ----------
+    seen : int
+        Number of the agent's report that the planner knows; 0 for none.
+    """
+
+    term: int
+    echo_s: float
+    seen: int
+
+
+class Referral(Message):
+    """Names the entry that plans, as far as the sender knows."""
+
+    term: int
+    planner: str
+    link_url: str
+
+
+__all__ = [
+    "EndRow",
+    "Grant",
+    "Referral",
+    "RunOrder",
+    "RunRow",
+    "UpstreamOrders",
+    "UpstreamReport",
+    "VmHeartbeat",
+    "VmOrders",
+    "VmReport",
+]
--- /dev/null
+++ b/src/hyssoprill/transport/http_channel.py
@@ -0,0 +1,168 @@
+"""HTTP calls over kept connections, each carrying one call at a time.
+
+A connection on which a call failed or was cancelled is closed, so that a late answer
+cannot be taken for that of another call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from tornado.iostream import IOStream
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 4
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class _Collector(HTTPMessageDelegate):
+    """Collects one answer."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: Mapping[str, str] = {}
+        self.body = bytearray()
+        self.finished = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        if isinstance(start_line, ResponseStartLine):
+            self.status = start_line.code
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self.body += chunk
+
+    def finish(self) -> None:
+        self.finished = True
+
+
+class HttpChannel:
+    """Client of one server.
+
+    Parameters
+    ----------
+    address : str
+        Host and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host, int(port)
+        self._address = address
+        self._tcp = TCPClient()
+        self._idle: list[IOStream] = []
+        self._closed = False
+        self._params = HTTP1ConnectionParameters(max_body_size=MAX_BODY_BYTES)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        *,
+        timeout_s: float,
+    ) -> Answer:
+        """Send a call and return its answer.
+
+        Raises
+        ------
+        ConnectionRefusedError
+            Where no connection was made, so that nothing was sent.
+        OSError
+            Where no whole answer came in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                stream = await self._connection()
+                return await self._exchange(stream, method, path, body, headers or {})
+        except TimeoutError as exc:
+            raise OSError(f"no answer of {path} within {timeout_s} s") from exc
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._closed = True
+        while self._idle:
+            self._idle.pop().close()
+
+    async def _connection(self) -> IOStream:
+        while self._idle:
+            stream = self._idle.pop()
+            if not stream.closed():
+                return stream
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                stream = await self._tcp.connect(self._host, self._port)
+        except (TimeoutError, StreamClosedError, OSError) as exc:
+            raise ConnectionRefusedError(
+                f"no connection to {self._address}: {exc}"
+            ) from exc
+        stream.set_nodelay(True)
+        return stream
+
+    async def _exchange(
+        self,
+        stream: IOStream,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+    ) -> Answer:
+        collector = _Collector()
+        finished = False
+        try:
+            conn = HTTP1Connection(stream, True, self._params)
+            sent = HTTPHeaders({"Host": self._address, **headers})
+            if body or method in ("POST", "PUT"):
+                sent["Content-Length"] = str(len(body))
+            start = RequestStartLine(method, path, "HTTP/1.1")
+            await conn.write_headers(start, sent, body or None)
+            conn.finish()
+            await conn.read_response(collector)
+            finished = collector.finished
+        except (StreamClosedError, HTTPInputError) as exc:
+            raise OSError(f"no whole answer of {path}: {exc}") from exc
+        finally:
+            keeps = collector.headers.get("Connection", "").lower() != "close"
+            if not finished or not keeps or not self._keep(stream):
+                stream.close()
+        if not finished or not collector.status:
+            raise OSError(f"no whole answer of {path}")
+        return Answer(collector.status, collector.headers, bytes(collector.body))
+
+    def _keep(self, stream: IOStream) -> bool:
+        """Keep a connection for the next call."""
+        if self._closed or stream.closed() or len(self._idle) >= MAX_IDLE_CONNECTIONS:
+            return False
+        self._idle.append(stream)
+        return True
+
+
+__all__ = ["Answer", "HttpChannel"]
--- a/src/hyssoprill/transport/http_server.py
+++ b/src/hyssoprill/transport/http_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hmac
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from tornado.httpserver import HTTPServer
@@ -12,6 +12,9 @@
 
 from ..errors import AccessError, HyssoprillError, InvalidRequestError
 
+if TYPE_CHECKING:
+    from .metrics import Metrics
+
 BEARER = "Bearer "
 
 
@@ -91,6 +94,19 @@
         self.finish(self.services["metrics"].text())
 
 
+class PlainMetricsHandler(RequestHandler):
+    """Prometheus exposition on an address of its own, without a token."""
+
+    def initialize(self, metrics: Metrics) -> None:
+        """Keep the metrics."""
+        self._process_metrics = metrics
+
+    def get(self) -> None:
+        """Answer with all metrics."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self._process_metrics.text())
+
+
 class DumpHandler(OperatorHandler):
     """The whole state of one process."""
 
@@ -163,6 +179,7 @@
     "HttpListener",
     "MetricsHandler",
     "OperatorHandler",
+    "PlainMetricsHandler",
     "error_body",
     "number_argument",
 ]
