Keep the room of running stops for the step they make room for; vacate one rack

Change: room that is being freed is held for the step, rack-sensitive gangs vacate one rack, steps about to miss their objective stop lower priorities up to their own work. Tests in tests/coordination/policy/dispatch fail on the earlier dispatch.

--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -8,7 +8,7 @@
 
 from ...clock import boottime_s
 from ...protocol.job import NOTHING
-from ...state.ledger import DONE, OPEN, WAITING, StepKey
+from ...state.ledger import OPEN, WAITING, StepKey
 from ..policy.dispatch.view import (
     ACCELERATOR_CORES,
     RunningUnit,
@@ -102,7 +102,6 @@
                         _slack_s(entry, occurrence, now_ms),
                         within_guarantee=entry.job.id in claims,
                         avoid=self.suspicion.failed_on(entry.job.id),
-                        first_start=_is_first_start(state),
                     )
                 )
         return found
@@ -195,10 +194,6 @@
     return placed
 
 
-def _is_first_start(state: StepState) -> bool:
-    return all(task.run == 0 or task.phase == DONE for task in state.tasks)
-
-
 def _slack_s(entry: JobEntry, occurrence: int, now_ms: int) -> float:
     """Return how long the rest of a job may still wait and meet its objective."""
     job = entry.job
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -14,10 +14,14 @@
 
     from .view import RunningUnit, UpstreamView, WaitingStep
 
-DATA_WAIT_SHARE = 1.0
-"""Part of its run time for which a task waits for a place beside its data."""
+PLACE_WAIT_SHARE = 2.0
+"""Part of its run time for which a task waits for its data's or its gang's rack.
+
+Elsewhere it takes `remote_factor` (3) times as long, and keeps the room so long."""
 MAX_HELD_STEPS = 2
-"""Steps without room whose place is kept from later ones in one round."""
+"""Steps without room whose place is kept from later steps in one round."""
+PREEMPT_SLACK_S = 1.2
+"""A step takes lower priorities' room when it has less than this left to wait."""
 
 
 def plan_round(
@@ -40,24 +44,28 @@
     held = 0
     for step in sorted(waiting, key=rank):
         candidates = _eligible(step, upstreams)
-        if not candidates:
-            continue
-        if _start_now(step, candidates, plan):
+        if not candidates or _start_now(step, candidates, plan):
             continue
-        if step.job.priority == 0 and step.first_start:
-            stopped = _reclaim(step, candidates, units, plan)
+        stopped = _preempt(step, candidates, units)
+        if stopped is not None:
+            plan.stops += [(unit, f"room for {step.key.job_id}") for unit in stopped]
             units = [unit for unit in units if unit not in stopped]
-        elif held < MAX_HELD_STEPS and step.step.gang:
+        elif held < MAX_HELD_STEPS:
             held += _hold(step, candidates)
     return plan
 
 
+def _is_patient(step: WaitingStep) -> bool:
+    """Tell whether a step still waits for the rack where it is fast."""
+    patience_s = step.step.estimate_ms / 1000 * PLACE_WAIT_SHARE
+    return step.waited_s < patience_s
+
+
 def _eligible(step: WaitingStep, upstreams: list[UpstreamView]) -> list[UpstreamView]:
     """Return where a step may run, for a while only beside its data."""
     candidates = usable(step, upstreams)
     rack = step.step.data_rack
-    patience_s = step.step.estimate_ms / 1000 * DATA_WAIT_SHARE
-    if rack and step.waited_s < patience_s and not step.within_guarantee:
+    if rack and _is_patient(step) and not step.within_guarantee:
         near = [one for one in candidates if one.rack == rack]
         return near or candidates
     return candidates
@@ -66,7 +74,8 @@
 def _start_now(step: WaitingStep, candidates: list[UpstreamView], plan: Plan) -> bool:
     """Start what fits; return whether nothing of the step is left waiting."""
     if step.step.gang:
-        places = place_gang(step, candidates, free) or []
+        spread = not _is_patient(step)
+        places = place_gang(step, candidates, free, spread=spread) or []
     else:
         places = place_each(step, candidates, free)
     for index, upstream in zip(step.indices, places, strict=False):
@@ -78,28 +87,39 @@
 
 def _hold(step: WaitingStep, candidates: list[UpstreamView]) -> int:
     """Keep the room of running stops for a step; return 1 where it suffices."""
-    places = place_gang(step, candidates, soon_free) if step.step.gang else None
-    for upstream in places or ():
+    if step.step.gang:
+        places = place_gang(step, candidates, soon_free) or []
+    else:
+        places = place_each(step, candidates, soon_free)
+    if len(places) < len(step.indices):
+        return 0
+    for upstream in places:
         take(step, upstream, soon_free)
-    return 1 if places else 0
+    return 1
 
 
-def _reclaim(
-    step: WaitingStep,
-    candidates: list[UpstreamView],
-    units: list[RunningUnit],
-    plan: Plan,
-) -> list[RunningUnit]:
-    """Stop others' work for an urgent step; return what is stopped."""
-
-    def may_stop(unit: RunningUnit) -> bool:
-        if unit.priority == 0:
-            return step.within_guarantee and not unit.within_guarantee
-        return step.within_guarantee or unit.cost <= 0
-
-    stopped = make_room(step, candidates, units, may_stop) or []
-    plan.stops += [(unit, f"room for {step.key.job_id}") for unit in stopped]
-    return stopped
+def _preempt(
+    step: WaitingStep, candidates: list[UpstreamView], units: list[RunningUnit]
+) -> list[RunningUnit] | None:
+    """Return what to stop so that a step fits, or None where nothing may stop.
+
+    What is guaranteed is taken from anybody. Beyond that, only from lower priorities,
+    when the step is about to miss its objective, and where no more work is lost than
+    the step itself has to do.
+    """
+    if step.within_guarantee:
+
+        def may_take(unit: RunningUnit) -> bool:
+            return unit.priority > 0 or not unit.within_guarantee
+
+        return make_room(step, candidates, units, may_take)
+    if not 0 <= step.slack_s < PREEMPT_SLACK_S:
+        return None
+
+    def is_lower(unit: RunningUnit) -> bool:
+        return unit.priority > step.job.priority
+
+    return make_room(step, candidates, units, is_lower, max_cost=step.work)
 
 
 __all__ = ["plan_round"]
--- a/src/hyssoprill/coordination/policy/dispatch/placing.py
+++ b/src/hyssoprill/coordination/policy/dispatch/placing.py
@@ -40,18 +40,23 @@
 
 
 def place_gang(
-    step: WaitingStep, candidates: list[UpstreamView], room: Room
+    step: WaitingStep,
+    candidates: list[UpstreamView],
+    room: Room,
+    *,
+    spread: bool = False,
 ) -> list[UpstreamView] | None:
     """Return an upstream for each task of a gang, or None where not all fit.
 
-    A gang that is slower on several racks gets the rack with least room to spare.
+    A gang that is slower on several racks gets the rack with least room to spare,
+    and several racks only where `spread` allows it or no rack could hold it.
     """
     wanted = len(step.indices)
     if step.step.rack_sensitive:
         found = _tightest_rack(step, candidates, room, wanted)
         if found is not None:
             return found
-        if one_rack_is_possible(step, candidates):
+        if not spread and one_rack_is_possible(step, candidates):
             return None
     counts = _counts(step, candidates, room)
     if sum(counts.values()) < wanted:
--- a/src/hyssoprill/coordination/policy/dispatch/preempting.py
+++ b/src/hyssoprill/coordination/policy/dispatch/preempting.py
@@ -1,8 +1,9 @@
-"""Chooses which runs stop for a job that has a right to their room.
+"""Chooses which runs stop for a step that may take their room.
 
 Load pattern: the pool is full of other workspaces' work when a workspace asks for
-what is guaranteed to it. The place that loses least work is vacated; work that saves
-its progress at a stop loses next to nothing.
+what is guaranteed to it, or when an urgent job is about to miss its objective. The
+place that loses least work is vacated; work that saves its progress at a stop loses
+next to nothing.
 """
 
 from __future__ import annotations
@@ -15,82 +16,125 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ....protocol.job import Amounts
     from .view import RunningUnit, UpstreamView, WaitingStep
 
+STOP_COST = 1.0
+"""Core seconds that any stop costs, beside the work that it loses."""
+
 
 def make_room(
     step: WaitingStep,
     candidates: list[UpstreamView],
     units: list[RunningUnit],
     may_stop: Callable[[RunningUnit], bool],
+    *,
+    max_cost: float = float("inf"),
 ) -> list[RunningUnit] | None:
     """Return the units to stop so that all tasks of a step fit, or None.
 
-    Room of the units returned is moved to `leaving`, and the step's share of it is
-    taken.
+    Room of the units returned counts as `leaving`, and the step's share of it is
+    taken. Nothing is changed where the answer is None.
+
+    Parameters
+    ----------
+    max_cost : float
+        Most core seconds that may be lost.
     """
-    stoppable = sorted(
-        (unit for unit in units if may_stop(unit)), key=lambda one: _unit_rank(one)
-    )
+    allowed = [unit for unit in units if may_stop(unit)]
+    best: list[RunningUnit] | None = None
+    best_cost = max_cost
+    best_domain: list[UpstreamView] = []
+    for domain in _domains(step, candidates):
+        found = _vacate(step, domain, allowed)
+        if found is not None and _cost(found) <= best_cost:
+            best, best_cost, best_domain = found, _cost(found), domain
+            if not found:
+                break
+    if best is None:
+        return None
+    _mark_leaving(best, best_domain)
+    for upstream in _places(step, best_domain)[: len(step.indices)]:
+        take(step, upstream, soon_free)
+    return best
+
+
+def _domains(
+    step: WaitingStep, candidates: list[UpstreamView]
+) -> list[list[UpstreamView]]:
+    """Return where a step may be placed as a whole: each rack, then anywhere."""
+    if not (step.step.gang and step.step.rack_sensitive):
+        return [candidates]
+    racks: dict[str, list[UpstreamView]] = defaultdict(list)
+    for upstream in candidates:
+        racks[upstream.rack].append(upstream)
+    found = [
+        rack
+        for rack in racks.values()
+        if sum(one.capacity.count(step.step.need, step.step.count) for one in rack)
+        >= len(step.indices)
+    ]
+    return found or [candidates]
+
+
+def _vacate(
+    step: WaitingStep, domain: list[UpstreamView], units: list[RunningUnit]
+) -> list[RunningUnit] | None:
+    """Return the units of a domain to stop; the views are left as they were."""
+    present = {one.key for one in domain}
     by_upstream: dict[str, list[RunningUnit]] = defaultdict(list)
-    for unit in stoppable:
+    for unit in sorted(units, key=_rank):
         for key in dict.fromkeys(unit.places):
-            by_upstream[key].append(unit)
+            if key in present:
+                by_upstream[key].append(unit)
+    before = [(one, one.leaving) for one in domain]
     chosen: dict[int, RunningUnit] = {}
-    before = {one.key: (one.free, one.leaving) for one in candidates}
-    placed = dict(step.placed)
-    views = {one.key: one for one in candidates}
-    remaining = len(step.indices)
-    while remaining:
-        places = _places(step, candidates)
-        if len(places) >= remaining:
-            for upstream in places[:remaining]:
-                take(step, upstream, soon_free)
-            return list(chosen.values())
-        option = _cheapest_option(step, candidates, by_upstream, chosen)
-        if option is None:
-            break
-        for unit in option:
-            chosen[id(unit)] = unit
-            for key in unit.places:
-                if key in views:
-                    view = views[key]
-                    view.leaving = view.leaving.plus(unit.need)
-    for one in candidates:
-        one.free, one.leaving = before[one.key]
-    step.placed.clear()
-    step.placed.update(placed)
-    return None
+    try:
+        while len(_places(step, domain)) < len(step.indices):
+            option = _cheapest_option(step, domain, by_upstream, chosen)
+            if option is None:
+                return None
+            chosen.update((id(unit), unit) for unit in option)
+            _mark_leaving(option, domain)
+        return list(chosen.values())
+    finally:
+        for one, leaving in before:
+            one.leaving = leaving
+
+
+def _mark_leaving(units: list[RunningUnit], domain: list[UpstreamView]) -> None:
+    views = {one.key: one for one in domain}
+    for unit in units:
+        for key in unit.places:
+            if key in views:
+                views[key].leaving = views[key].leaving.plus(unit.need)
 
 
-def _places(step: WaitingStep, candidates: list[UpstreamView]) -> list[UpstreamView]:
+def _places(step: WaitingStep, domain: list[UpstreamView]) -> list[UpstreamView]:
     if step.step.gang:
-        return place_gang(step, candidates, soon_free) or []
-    return place_each(step, candidates, soon_free)
+        return place_gang(step, domain, soon_free, spread=True) or []
+    return place_each(step, domain, soon_free)
+
 
+def _rank(unit: RunningUnit) -> tuple[int, bool, float]:
+    return -unit.priority, unit.within_guarantee, unit.cost
 
-def _unit_rank(unit: RunningUnit) -> tuple[bool, float]:
-    return unit.within_guarantee, unit.cost
+
+def _cost(units: list[RunningUnit]) -> float:
+    return sum(unit.cost + STOP_COST for unit in units)
 
 
 def _cheapest_option(
     step: WaitingStep,
-    candidates: list[UpstreamView],
+    domain: list[UpstreamView],
     by_upstream: dict[str, list[RunningUnit]],
     chosen: dict[int, RunningUnit],
 ) -> list[RunningUnit] | None:
     """Return the cheapest units whose end makes room for one more task."""
-    best: list[RunningUnit] | None = None
-    best_cost = float("inf")
-    for upstream in candidates:
-        option = _victims(step, upstream, by_upstream[upstream.key], chosen)
-        if option is None:
-            continue
-        cost = sum(unit.cost + 1.0 for unit in option)
-        if cost < best_cost:
-            best, best_cost = option, cost
-    return best
+    options = (
+        _victims(step, upstream, by_upstream[upstream.key], chosen)
+        for upstream in domain
+    )
+    return min((one for one in options if one is not None), key=_cost, default=None)
 
 
 def _victims(
@@ -100,18 +144,37 @@
     chosen: dict[int, RunningUnit],
 ) -> list[RunningUnit] | None:
     """Return units whose end lets one more task fit on an upstream."""
-    need: Amounts = step.step.need
+    need = step.step.need
+    wanted = len(step.indices)
     room = soon_free(upstream)
-    fits_now = room.count(need, len(step.indices))
+    fits_now = room.count(need, wanted)
     picked: list[RunningUnit] = []
     for unit in units:
         if id(unit) in chosen:
             continue
         picked.append(unit)
         room = room.plus(unit.need, unit.places.count(upstream.key))
-        if room.count(need, len(step.indices)) > fits_now:
-            return picked
+        if room.count(need, wanted) > fits_now:
+            return _without_needless(step, upstream, picked, fits_now)
     return None
 
 
+def _without_needless(
+    step: WaitingStep,
+    upstream: UpstreamView,
+    picked: list[RunningUnit],
+    fits_now: int,
+) -> list[RunningUnit]:
+    """Leave out, dearest first, units whose room is not needed after all."""
+    kept = list(picked)
+    for unit in sorted(picked, key=lambda one: -one.cost):
+        rest = [one for one in kept if one is not unit]
+        room = soon_free(upstream)
+        for one in rest:
+            room = room.plus(one.need, one.places.count(upstream.key))
+        if room.count(step.step.need, len(step.indices)) > fits_now:
+            kept = rest
+    return kept
+
+
 __all__ = ["make_room"]
--- a/src/hyssoprill/coordination/policy/dispatch/view.py
+++ b/src/hyssoprill/coordination/policy/dispatch/view.py
@@ -91,7 +91,13 @@
     slack_s: float
     within_guarantee: bool = False
     avoid: frozenset[str] = frozenset()
-    first_start: bool = True
+
+    @property
+    def work(self) -> float:
+        """Core seconds that its waiting tasks are estimated to take."""
+        need = self.step.need
+        cores = need.millicores / 1000 + ACCELERATOR_CORES * need.accelerators
+        return cores * self.step.estimate_ms / 1000 * len(self.indices)
 
 
 class Placement(NamedTuple):
--- a/src/hyssoprill/state/directory.py
+++ b/src/hyssoprill/state/directory.py
@@ -50,12 +50,12 @@
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of the longest prefix that a path begins with."""
-        best: Queue | None = None
-        for queue in self.queues:
-            if queue.host == host and path.startswith(queue.path_prefix):
-                if best is None or len(queue.path_prefix) > len(best.path_prefix):
-                    best = queue
-        return best
+        found = [
+            queue
+            for queue in self.queues
+            if queue.host == host and path.startswith(queue.path_prefix)
+        ]
+        return max(found, key=lambda one: len(one.path_prefix), default=None)
 
     def workspace_of(self, key: str) -> str | None:
         """Return the workspace that a key belongs to."""
--- /dev/null
+++ b/tests/coordination/policy/dispatch/conftest.py
@@ -0,0 +1,83 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from hyssoprill.coordination.policy.dispatch.view import (
+    RunningUnit,
+    UpstreamView,
+    WaitingStep,
+)
+from hyssoprill.protocol.job import NOTHING, Amounts, Job, Step
+from hyssoprill.state.ledger import StepKey
+
+WHOLE = Amounts(8, 64_000, 262_144)
+
+
+class World:
+    """Builds upstreams, waiting steps and running units."""
+
+    def __init__(self) -> None:
+        self.upstreams: list[UpstreamView] = []
+        self.units: list[RunningUnit] = []
+
+    def upstream(self, key: str, rack: str = "r1", **fields: Any) -> UpstreamView:
+        fields = {"free": WHOLE, "leaving": NOTHING, **fields}
+        view = UpstreamView(key, "z", rack, "g", frozenset({"a"}), WHOLE, **fields)
+        self.upstreams.append(view)
+        return view
+
+    def step(
+        self,
+        job_id: str = "job",
+        *,
+        count: int = 1,
+        need: Amounts = Amounts(1, 1000, 1000),
+        priority: int = 1,
+        waited_s: float = 0.0,
+        slack_s: float = 10.0,
+        within_guarantee: bool = False,
+        **fields: Any,
+    ) -> WaitingStep:
+        step = Step(count=count, need=need, estimate_ms=5000, **fields)
+        job = Job(job_id, "q", "g", "w", priority, 3, 3.0, 1000, 0, "", (step,))
+        return WaitingStep(
+            StepKey(job_id, 0, 0),
+            job,
+            step,
+            list(range(count)),
+            {},
+            waited_s,
+            slack_s,
+            within_guarantee,
+        )
+
+    def running(
+        self,
+        job_id: str,
+        *places: str,
+        need: Amounts = WHOLE,
+        priority: int = 2,
+        cost: float = 10.0,
+    ) -> RunningUnit:
+        """Add a unit that runs; the room is taken from its upstreams."""
+        for key in places:
+            view = next(one for one in self.upstreams if one.key == key)
+            view.free = view.free.minus(need)
+        unit = RunningUnit(
+            StepKey(job_id, 0, 0),
+            tuple(range(len(places))),
+            places,
+            need,
+            priority,
+            "other",
+            cost,
+        )
+        self.units.append(unit)
+        return unit
+
+
+@pytest.fixture
+def world() -> World:
+    return World()
--- /dev/null
+++ b/tests/coordination/policy/dispatch/test_dispatch.py
@@ -0,0 +1,139 @@
+from __future__ import annotations
+
+from hyssoprill.coordination.policy.dispatch.dispatch import plan_round
+from hyssoprill.protocol.job import NOTHING, Amounts
+
+HALF = Amounts(4, 30_000, 100_000)
+WHOLE = Amounts(8, 64_000, 262_144)
+
+
+def test_small_tasks_go_where_least_is_left(world):
+    world.upstream("empty")
+    world.upstream("used", free=HALF)
+    plan = plan_round([world.step()], world.upstreams, [])
+    assert [start.upstream for start in plan.starts] == ["used"]
+
+
+def test_room_is_never_given_twice(world):
+    world.upstream("a")
+    steps = [world.step(f"j{i}", need=Amounts(3, 1, 1)) for i in range(4)]
+    plan = plan_round(steps, world.upstreams, [])
+    assert len(plan.starts) == 2
+    assert world.upstreams[0].free.accelerators == 2
+
+
+def test_gang_starts_whole_or_not_at_all(world):
+    world.upstream("a", free=HALF)
+    world.upstream("b", free=NOTHING)
+    gang = world.step(count=2, need=HALF, gang=True)
+    assert plan_round([gang], world.upstreams, []).starts == []
+
+
+def test_rack_sensitive_gang_gets_one_rack(world):
+    world.upstream("a1", "ra", free=HALF)
+    world.upstream("b1", "rb", free=HALF)
+    world.upstream("b2", "rb", free=HALF)
+    gang = world.step(count=2, need=HALF, gang=True, rack_sensitive=True)
+    plan = plan_round([gang], world.upstreams, [])
+    assert {start.upstream for start in plan.starts} == {"b1", "b2"}
+
+
+def test_rack_sensitive_gang_spreads_after_waiting(world):
+    for key, rack in (("a1", "ra"), ("b1", "rb"), ("a2", "ra"), ("b2", "rb")):
+        world.upstream(key, rack, free=HALF if key.endswith("1") else NOTHING)
+    fields = {"count": 2, "need": HALF, "gang": True, "rack_sensitive": True}
+    assert not plan_round([world.step(**fields)], world.upstreams, []).starts
+    late = world.step(waited_s=11.0, **fields)
+    assert len(plan_round([late], world.upstreams, []).starts) == 2
+
+
+def test_step_waits_beside_its_data_then_goes_elsewhere(world):
+    world.upstream("near", "r1", free=NOTHING)
+    world.upstream("far", "r2")
+    assert not plan_round([world.step(data_rack="r1")], world.upstreams, []).starts
+    late = world.step(data_rack="r1", waited_s=11.0)
+    assert plan_round([late], world.upstreams, []).starts[0].upstream == "far"
+
+
+def test_label_and_tasks_per_upstream_are_kept(world):
+    world.upstream("a")
+    world.upstream("b")
+    assert not plan_round([world.step(label="x")], world.upstreams, []).starts
+    step = world.step(count=5, max_per_upstream=2, label="a")
+    placed = [start.upstream for start in plan_round([step], world.upstreams, []).starts]
+    assert sorted(placed) == ["a", "a", "b", "b"]
+
+
+def test_guaranteed_job_stops_the_cheapest_work(world):
+    world.upstream("a")
+    world.upstream("b")
+    world.running("dear", "a", cost=500.0)
+    cheap = world.running("cheap", "b", cost=0.0)
+    urgent = world.step(need=WHOLE, priority=0, within_guarantee=True)
+    plan = plan_round([urgent], world.upstreams, world.units)
+    assert [unit for unit, _why in plan.stops] == [cheap]
+
+
+def test_stopping_room_is_kept_for_the_job_it_is_stopped_for(world):
+    world.upstream("a", free=HALF, leaving=HALF)
+    urgent = world.step(
+        "urgent", need=Amounts(8, 1, 1), priority=0, within_guarantee=True
+    )
+    small = world.step("small", need=Amounts(1, 1, 1))
+    plan = plan_round([small, urgent], world.upstreams, [])
+    assert plan.starts == []
+    assert plan.stops == []
+
+
+def test_urgent_job_beyond_its_guarantee_stops_only_lower_priorities(world):
+    world.upstream("a")
+    world.running("same", "a", priority=0, cost=0.0)
+    urgent = world.step(need=WHOLE, priority=0, slack_s=0.5)
+    assert plan_round([urgent], world.upstreams, world.units).stops == []
+
+
+def test_no_more_work_is_lost_than_the_urgent_job_has_to_do(world):
+    world.upstream("a")
+    world.running("dear", "a", cost=5000.0)
+    urgent = world.step(need=WHOLE, priority=0, slack_s=0.5)
+    assert plan_round([urgent], world.upstreams, world.units).stops == []
+
+
+def test_job_with_time_left_waits_instead_of_stopping_others(world):
+    world.upstream("a")
+    world.running("cheap", "a", cost=0.0)
+    relaxed = world.step(need=WHOLE, priority=0, slack_s=5.0)
+    assert plan_round([relaxed], world.upstreams, world.units).stops == []
+
+
+def test_guaranteed_rack_sensitive_gang_vacates_one_rack(world):
+    for key in ("a1", "a2", "b1", "b2"):
+        world.upstream(key, key[0])
+        world.running(f"on-{key}", key, cost=1.0 if key == "a1" else 5.0)
+    gang = world.step(
+        count=2,
+        need=WHOLE,
+        priority=0,
+        within_guarantee=True,
+        gang=True,
+        rack_sensitive=True,
+    )
+    plan = plan_round([gang], world.upstreams, world.units)
+    stopped = sorted(unit.places[0] for unit, _why in plan.stops)
+    assert stopped == ["a1", "a2"]
+
+
+def test_urgent_priorities_come_first_when_room_is_short(world):
+    world.upstream("a")
+    low = world.step("low", need=WHOLE, priority=2)
+    high = world.step("high", need=WHOLE, priority=0)
+    plan = plan_round([low, high], world.upstreams, [])
+    assert [start.step.job_id for start in plan.starts] == ["high"]
+
+
+def test_late_jobs_come_after_those_that_can_still_meet_their_objective(world):
+    world.upstream("a")
+    late = world.step("late", need=WHOLE, slack_s=-3.0)
+    timely = world.step("timely", need=WHOLE, slack_s=4.0)
+    plan = plan_round([late, timely], world.upstreams, [])
+    assert [start.step.job_id for start in plan.starts] == ["timely"]
