--- /dev/null
+++ b/tests/coordination/planner/conftest.py
@@ -0,0 +1,201 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager, suppress
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import pytest
+from standins.job_store import MemoryStore
+
+from hyssoprill.coordination.planner.planner import Planner
+from hyssoprill.coordination.planner.replica import Replica
+from hyssoprill.coordination.planner.term import TermKeeper
+from hyssoprill.errors import StoreInDoubtError
+from hyssoprill.ports.store import Record
+from hyssoprill.protocol.job import Amounts, Job, Step
+from hyssoprill.protocol.upstream_messages import (
+    EndRow,
+    UpstreamReport,
+    VmHeartbeat,
+    VmOrders,
+    VmReport,
+)
+from hyssoprill.state.directory import Directory, WorkspaceTerms
+from hyssoprill.state.ledger import CANCEL_PREFIX, JOB_PREFIX
+from hyssoprill.tasks import cancel_all
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+CAPACITY = Amounts(8, 64_000, 262_144)
+
+
+class PlanningEntry:
+    """The planning part of one entry, with the messages that it has sent."""
+
+    def __init__(self, name: str, store: MemoryStore) -> None:
+        self.name = name
+        self.sent: list[tuple[str, Any]] = []
+        self.directory = Directory(
+            version=1, workspaces=(WorkspaceTerms("w", frozenset({"k"}), 16),)
+        )
+        self.replica = Replica(store, self._changed)
+        self.keeper = TermKeeper(
+            name, f"{name}-1", f"tcp://{name}", store, self.replica
+        )
+        self.planner = Planner(
+            self.replica,
+            self.keeper,
+            lambda: self.directory,
+            lambda vm, message: self.sent.append((vm, message)),
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _changed(self) -> None:
+        self.planner.wake()
+
+    def start(self) -> None:
+        self._tasks = [
+            asyncio.ensure_future(work)
+            for work in (
+                self.replica.run(),
+                self.keeper.hold(),
+                self.planner.run(),
+            )
+        ]
+
+    async def stop(self) -> None:
+        await cancel_all(self._tasks)
+
+    def orders(self, vm: str) -> dict[str, Any]:
+        """Return the newest orders of each upstream of a VM."""
+        found: dict[str, Any] = {}
+        for name, message in self.sent:
+            if name == vm and isinstance(message, VmOrders):
+                found = {one.key: one for one in message.upstreams}
+        return found
+
+    def ordered_runs(self) -> dict[str, tuple[str, int]]:
+        """Return task, upstream and run of all newest orders."""
+        vms = {name for name, _ in self.sent}
+        return {
+            run.task: (key, run.run)
+            for vm in vms
+            for key, one in self.orders(vm).items()
+            for run in one.runs
+        }
+
+
+class FakeVm:
+    """Reports as an agent does."""
+
+    def __init__(self, entry: PlanningEntry, vm: str, rack: str = "r1") -> None:
+        self.entry = entry
+        self.vm = vm
+        self.key = f"{vm}|10.0.0.1:80|100|i-{vm}"
+        self.rack = rack
+        self.number = 1
+        self.ended: list[EndRow] = []
+        self.closed: list[tuple[str, int]] = []
+        self.gone: list[str] = []
+        self.accepting = True
+
+    def report(self) -> None:
+        self.number += 1
+        upstream = UpstreamReport(
+            self.key,
+            "g",
+            "zone-a",
+            self.accepting,
+            CAPACITY,
+            ["a", self.rack],
+            [],
+            list(self.ended),
+            list(self.closed),
+        )
+        self.entry.planner.reported(
+            VmReport(self.vm, 1.0, self.number, 0, 0, [upstream], list(self.gone))
+        )
+
+    def heartbeat(self) -> None:
+        self.entry.planner.heartbeat(VmHeartbeat(self.vm, 1.0, self.number, 99, 99))
+
+    def end(self, task: str, run: int, how: str, saved: str = "") -> None:
+        self.ended.append(EndRow(len(self.ended) + 1, task, run, how, saved))
+        self.report()
+
+
+class PlannerWorld:
+    """A store with planning entries and VMs."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.entries: list[PlanningEntry] = []
+
+    def entry(self, name: str) -> PlanningEntry:
+        entry = PlanningEntry(name, self.store)
+        self.entries.append(entry)
+        entry.start()
+        return entry
+
+    async def submit(self, job_id: str, *steps: Step, **fields: Any) -> None:
+        fields = {"priority": 1, "max_attempts": 2, **fields}
+        job = Job(
+            id=job_id,
+            queue="q",
+            group="g",
+            workspace="w",
+            stretch=3.0,
+            target_latency_ms=1000,
+            accepted_ms=0,
+            payload=f"payload of {job_id}",
+            steps=steps or (Step(need=Amounts(1, 1000, 1000), estimate_ms=1000),),
+            **fields,
+        )
+        record = Record(JOB_PREFIX + job_id, msgspec.json.encode(job))
+        await self.store.append("jobs", [record])
+
+    async def submit_unsure(self, job_id: str) -> None:
+        """Submit, also where the answer of the store is lost."""
+        with suppress(StoreInDoubtError):
+            await self.submit(job_id)
+
+    async def cancel(self, job_id: str) -> None:
+        await self.store.append("jobs", [Record(CANCEL_PREFIX + job_id, b"{}")])
+
+    async def until(self, condition: Callable[[], Any], timeout_s: float = 5.0) -> Any:
+        """Wait until a condition holds and return its value."""
+        async with asyncio.timeout(timeout_s):
+            while not (value := condition()):
+                await asyncio.sleep(0.01)
+        return value
+
+
+@asynccontextmanager
+async def running_world() -> AsyncIterator[PlannerWorld]:
+    world = PlannerWorld()
+    try:
+        yield world
+    finally:
+        for entry in world.entries:
+            await entry.stop()
+
+
+@pytest.fixture
+def play() -> Callable[[Callable[[PlannerWorld], Any]], None]:
+    """Run a coroutine function with a world of its own."""
+
+    def run(scenario: Callable[[PlannerWorld], Any]) -> None:
+        async def body() -> None:
+            async with running_world() as world:
+                await scenario(world)
+
+        asyncio.run(body())
+
+    return run
+
+
+@pytest.fixture
+def make_vm() -> Callable[..., FakeVm]:
+    return FakeVm
--- /dev/null
+++ b/tests/coordination/planner/test_planner.py
@@ -0,0 +1,224 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hyssoprill.coordination.planner import fleet
+from hyssoprill.protocol.job import Amounts, Step
+
+ONE = Amounts(1, 1000, 1000)
+WHOLE = Amounts(8, 64_000, 262_144)
+NAME = "00000000000000a1"
+
+
+def status(entry, job_id: str = NAME) -> str:
+    known = entry.replica.ledger.jobs.get(job_id)
+    return known.status if known is not None else ""
+
+
+def ordered(entry, task: str):
+    return entry.ordered_runs().get(task)
+
+
+async def planning(world, make_vm, *names: str):
+    entry = world.entry("entry-1")
+    await world.until(lambda: entry.keeper.term)
+    vms = [make_vm(entry, name) for name in names]
+    for vm in vms:
+        vm.report()
+    return entry, vms
+
+
+def test_run_is_stored_before_it_is_ordered(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME)
+        await world.until(entry.ordered_runs)
+        stored = world.store.topic("jobs").newest[f"step/{NAME}.0.0"]
+        assert vm.key.encode() in stored.value
+
+    play(scenario)
+
+
+def test_done_end_completes_the_job_and_is_acknowledged(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME)
+        await world.until(entry.ordered_runs)
+        vm.end(f"{NAME}.0.0.0", 1, "done")
+        await world.until(lambda: status(entry) == "completed")
+        await world.until(lambda: entry.orders("vm-1")[vm.key].acked_upto == 1)
+
+    play(scenario)
+
+
+def test_end_is_not_acknowledged_while_it_is_not_stored(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME)
+        await world.until(entry.ordered_runs)
+        world.store.down = True
+        vm.end(f"{NAME}.0.0.0", 1, "done")
+        await asyncio.sleep(0.3)
+        assert entry.orders("vm-1")[vm.key].acked_upto == 0
+        world.store.down = False
+        await world.until(lambda: entry.orders("vm-1")[vm.key].acked_upto == 1)
+
+    play(scenario)
+
+
+def test_job_fails_after_its_attempts_and_starts_no_more(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME, max_attempts=2)
+        task = f"{NAME}.0.0.0"
+        for run in (1, 2):
+            await world.until(
+                lambda run=run: entry.ordered_runs().get(task, "")[1:] == (run,)
+            )
+            vm.end(task, run, "failed")
+        await world.until(lambda: status(entry) == "failed")
+        await asyncio.sleep(0.1)
+        assert entry.ordered_runs() == {}
+
+    play(scenario)
+
+
+def test_one_failed_run_of_a_gang_counts_once(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME, Step(count=3, need=ONE, gang=True), max_attempts=2)
+        await world.until(lambda: len(entry.ordered_runs()) == 3)
+        for index in range(3):
+            vm.end(f"{NAME}.0.0.{index}", 1, "failed" if index < 2 else "broken")
+        await world.until(
+            lambda: {run for _key, run in entry.ordered_runs().values()} == {2}
+        )
+        assert status(entry) == "running"
+
+    play(scenario)
+
+
+def test_rest_of_a_broken_gang_is_stopped_before_a_new_run(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME, Step(count=2, need=ONE, gang=True))
+        await world.until(lambda: len(entry.ordered_runs()) == 2)
+        vm.end(f"{NAME}.0.0.0", 1, "stopped", "half")
+        stopping = (f"{NAME}.0.0.1", 1)
+        await world.until(lambda: stopping in entry.orders("vm-1")[vm.key].stopping)
+        assert entry.ordered_runs() == {}
+        vm.closed = [stopping]
+        vm.report()
+        await world.until(lambda: len(entry.ordered_runs()) == 2)
+        saved = {run.saved for run in entry.orders("vm-1")[vm.key].runs}
+        assert saved == {"half"}
+
+    play(scenario)
+
+
+def test_cancelled_job_is_stopped(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME)
+        await world.until(entry.ordered_runs)
+        await world.cancel(NAME)
+        await world.until(lambda: entry.orders("vm-1")[vm.key].stopping)
+        assert status(entry) == "cancelled"
+
+    play(scenario)
+
+
+def test_room_of_a_stopping_run_is_kept_until_its_end(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME, Step(need=WHOLE))
+        await world.until(entry.ordered_runs)
+        await world.cancel(NAME)
+        await world.submit("00000000000000a2", Step(need=WHOLE))
+        await asyncio.sleep(0.3)
+        assert entry.ordered_runs() == {}
+        vm.closed = [(f"{NAME}.0.0.0", 1)]
+        vm.report()
+        await world.until(entry.ordered_runs)
+
+    play(scenario)
+
+
+def test_later_step_waits_for_the_one_it_follows(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME, Step(need=ONE), Step(need=ONE, after=(0,)))
+        await world.until(entry.ordered_runs)
+        assert set(entry.ordered_runs()) == {f"{NAME}.0.0.0"}
+        vm.end(f"{NAME}.0.0.0", 1, "done")
+        await world.until(lambda: set(entry.ordered_runs()) == {f"{NAME}.0.1.0"})
+
+    play(scenario)
+
+
+def test_silent_vm_keeps_its_runs_until_its_leases_lapsed(play, make_vm, monkeypatch):
+    monkeypatch.setattr(fleet, "LAPSE_AFTER_S", 3.0)
+
+    async def scenario(world):
+        entry, (vm, other) = await planning(world, make_vm, "vm-1", "vm-2")
+        await world.submit(NAME)
+        first = (await world.until(entry.ordered_runs))[f"{NAME}.0.0.0"][0]
+        silent, alive = (vm, other) if first == vm.key else (other, vm)
+        assert silent.key == first
+        began = asyncio.get_running_loop().time()
+        while asyncio.get_running_loop().time() - began < 2.0:
+            alive.heartbeat()
+            await asyncio.sleep(0.1)
+            assert entry.orders(alive.vm)[alive.key].runs == []
+        while not entry.orders(alive.vm)[alive.key].runs:
+            alive.heartbeat()
+            await asyncio.sleep(0.1)
+        assert entry.orders(alive.vm)[alive.key].runs[0].run == 2
+
+    play(scenario)
+
+
+def test_work_of_an_ended_lifetime_starts_elsewhere_at_once(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME)
+        await world.until(entry.ordered_runs)
+        vm.gone = [vm.key]
+        vm.key = vm.key.replace("|100|", "|200|")
+        vm.report()
+        await world.until(
+            lambda: entry.ordered_runs().get(f"{NAME}.0.0.0") == (vm.key, 2)
+        )
+
+    play(scenario)
+
+
+def test_draining_upstream_gets_no_start(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        vm.accepting = False
+        vm.report()
+        await world.submit(NAME)
+        await asyncio.sleep(0.3)
+        assert entry.ordered_runs() == {}
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("lost", [1, 3])
+def test_lost_answers_of_the_store_start_nothing_twice(play, make_vm, lost):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        world.store.lost_answers = lost
+        await world.submit_unsure(NAME)
+        await world.until(entry.ordered_runs)
+        steps = [
+            one
+            for one in world.store.topic("jobs").records
+            if one.key.startswith("step/")
+        ]
+        assert len(steps) == 1
+
+    play(scenario)
--- a/tests/coordination/policy/dispatch/conftest.py
+++ b/tests/coordination/policy/dispatch/conftest.py
@@ -12,6 +12,7 @@
 from hyssoprill.protocol.job import NOTHING, Amounts, Job, Step
 from hyssoprill.state.ledger import StepKey
 
+SMALL = Amounts(1, 1000, 1000)
 WHOLE = Amounts(8, 64_000, 262_144)
 
 
@@ -33,7 +34,7 @@
         job_id: str = "job",
         *,
         count: int = 1,
-        need: Amounts = Amounts(1, 1000, 1000),
+        need: Amounts = SMALL,
         priority: int = 1,
         waited_s: float = 0.0,
         slack_s: float = 10.0,
--- a/tests/coordination/policy/dispatch/test_dispatch.py
+++ b/tests/coordination/policy/dispatch/test_dispatch.py
@@ -60,7 +60,9 @@
     world.upstream("b")
     assert not plan_round([world.step(label="x")], world.upstreams, []).starts
     step = world.step(count=5, max_per_upstream=2, label="a")
-    placed = [start.upstream for start in plan_round([step], world.upstreams, []).starts]
+    placed = [
+        start.upstream for start in plan_round([step], world.upstreams, []).starts
+    ]
     assert sorted(placed) == ["a", "a", "b", "b"]
 
 
