--- a/src/hyssoprill/coordination/intake/entry.py
+++ b/src/hyssoprill/coordination/intake/entry.py
@@ -56,6 +56,8 @@
         store: StorePort,
         build: Build,
         metrics: Metrics,
+        *,
+        state_kept_s: float,
     ) -> None:
         self.name = name
         self.metrics = metrics
@@ -65,6 +67,7 @@
         self._incarnation = new_incarnation()
         self._codec = FrameCodec(cluster_key, name, self._incarnation)
         self._store = store
+        self._state_kept_s = state_kept_s
         self.replica = Replica(store, self._changed)
         self.directory = DirectoryFollower(store, build, self._changed)
         self.intake = Intake(store, self.replica)
@@ -82,7 +85,11 @@
             self.name, self._incarnation, self.link_url, self._store, self.replica
         )
         self._planner = Planner(
-            self.replica, self.keeper, lambda: self.directory.current, self._send
+            self.replica,
+            self.keeper,
+            lambda: self.directory.current,
+            self._send,
+            state_kept_s=self._state_kept_s,
         )
         for work in (
             self.replica.run(),
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -82,6 +82,14 @@
         vm = self.vms.get(key.partition("|")[0])
         return vm.upstreams.get(key) if vm is not None else None
 
+    def saved(self, key: str, task: str, run: int) -> str:
+        """Return the newest progress of a run that its upstream has listed."""
+        report = self.find(key)
+        for row in report.running if report is not None else ():
+            if (row.task, row.run) == (task, run):
+                return row.saved
+        return ""
+
     def why_over(self, key: str) -> str:
         """Return why nothing can run on a lifetime any more, or ''."""
         name = parse_upstream_key(key)
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -17,8 +17,10 @@
 )
 from ...state.ledger import OPEN, StepKey
 from ..policy.dispatch.dispatch import plan_round
+from ..policy.dispatch.leaving import is_better_moved, time_left_s
 from .changes import Changes
 from .fleet import Fleet
+from .retention import expired_records
 from .runs import RunNotes
 from .survey import Survey
 from .suspicion import Suspicion
@@ -39,6 +41,7 @@
 ROUND_INTERVAL_S = 0.25
 """Rounds come at once with news, and this often without, for what time changes."""
 MIN_ROUND_INTERVAL_S = 0.01
+DROP_INTERVAL_S = 5.0
 
 
 class Planner:
@@ -54,6 +57,8 @@
         Returns the operator's view in force.
     send : callable
         Sends a message to the agent of a VM.
+    state_kept_s : float
+        For how long callers may ask for a job that is over.
     """
 
     def __init__(
@@ -62,11 +67,15 @@
         keeper: TermKeeper,
         directory: Callable[[], Directory],
         send: Send,
+        *,
+        state_kept_s: float = 120.0,
     ) -> None:
         self._replica = replica
         self._keeper = keeper
         self._directory = directory
         self._send = send
+        self._state_kept_s = state_kept_s
+        self._dropped_s = boottime_s()
         self._news = asyncio.Event()
         self._fleet = Fleet()
         self._notes = RunNotes()
@@ -150,12 +159,23 @@
         self._acked.update(acked)
         self._notes.keep_only(self._replica.ledger.open_runs)
         self._stop_unwanted()
+        self._stop_leaving()
         changes = Changes(self._replica.ledger)
         self._start_waiting(changes)
         if changes:
             await self._keeper.append(changes.records())
         if self._keeper.term == term:
             self._publish()
+        await self._drop_expired()
+
+    async def _drop_expired(self) -> None:
+        if boottime_s() - self._dropped_s < DROP_INTERVAL_S:
+            return
+        self._dropped_s = boottime_s()
+        records = expired_records(self._replica.ledger, self._state_kept_s)
+        if records:
+            await self._keeper.append(records)
+            decision("jobs_dropped", records=len(records), term=self._term)
 
     def _close_ended(self, changes: Changes) -> dict[str, int]:
         """Close runs that their upstreams list as ended."""
@@ -186,7 +206,8 @@
             why = self._fleet.why_over(key) if runs else ""
             if why:
                 for task, run in runs.items():
-                    self._close(changes, key, task, run, why, "")
+                    saved = self._fleet.saved(key, task, run.run)
+                    self._close(changes, key, task, run, why, saved)
 
     def _close(
         self,
@@ -217,6 +238,24 @@
             term=self._term,
         )
 
+    def _stop_leaving(self) -> None:
+        """Stop runs that their draining upstream would end anyway."""
+        ledger = self._replica.ledger
+        for vm in self._fleet.vms.values():
+            for report in vm.upstreams.values():
+                if not report.draining:
+                    continue
+                percents = {(row.task, row.run): row.percent for row in report.running}
+                for task, run in ledger.open_runs.get(report.key, {}).items():
+                    name = (task, run.run)
+                    if name in self._notes.stopping:
+                        continue
+                    step = ledger.jobs[run.step.job_id].job.steps[run.step.step]
+                    ran_s = boottime_s() - self._notes.began(name)
+                    left_s = time_left_s(step, ran_s, percents.get(name, 0))
+                    if is_better_moved(step, left_s, report.remaining_ms / 1000):
+                        self._stop(*name, "upstream leaves")
+
     def _stop_unwanted(self) -> None:
         """Stop runs of jobs that are over, of broken gangs, and stalled ones."""
         ledger = self._replica.ledger
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -61,6 +61,7 @@
         self.key = key
         self.check_in = check_in
         self.gone = False
+        self.has_new_progress = False
         self._port = port
         self._authority = authority
         self._max_lease_s = max_lease_s
@@ -94,6 +95,7 @@
 
     def report(self) -> UpstreamReport:
         """Return what the planner is told."""
+        self.has_new_progress = False
         listing, check_in = self._listing, self.check_in
         now_s = boottime_s()
         running = list(listing.running) if listing is not None else []
@@ -110,6 +112,7 @@
             [(task, run, why) for (task, run), why in sorted(self._refused.items())],
             [key for key in map(_run_key, running) if self._is_stalled(key, now_s)],
             check_in.remaining_ms,
+            check_in.draining,
         )
 
     # Orders
@@ -298,6 +301,8 @@
             for key, at in self._stop_answered_s.items()
             if at < sent_s and key not in present
         }
+        if before is not None and _saved(before) != _saved(listing):
+            self.has_new_progress = True
         news = closed - self._closed
         self._closed |= closed
         self._stop_strangers()
@@ -346,6 +351,10 @@
     return row.task, row.run
 
 
+def _saved(listing: Listing) -> dict[RunKey, str]:
+    return {_run_key(row): row.saved for row in listing.running}
+
+
 def _essence(check_in: CheckIn) -> tuple[object, ...]:
     """Return what of a check-in the planner acts on."""
     return (
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -208,6 +208,8 @@
                 await asyncio.wait_for(self._news.wait(), HEARTBEAT_INTERVAL_S)
             except TimeoutError:
                 pass
+            if any(one.has_new_progress for one in self._sessions.values()):
+                self._changed()
             changed = self._news.is_set()
             self._news.clear()
             self._drop_gone()
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -42,6 +42,10 @@
         Runs of `stopping` that can never start any more and left no end.
     refused : list of tuple
         Runs that the upstream refused to start, with the reason.
+    stalled : list of tuple
+        Runs that have made no progress for a while.
+    remaining_ms : int
+        Least time that a draining upstream stays; -1 where not told.
     """
 
     key: str
@@ -56,6 +60,7 @@
     refused: list[tuple[str, int, str]] = []
     stalled: list[tuple[str, int]] = []
     remaining_ms: int = -1
+    draining: bool = False
 
 
 class VmReport(Message):
--- a/src/hyssoprill/state/ledger.py
+++ b/src/hyssoprill/state/ledger.py
@@ -14,6 +14,7 @@
 from loguru import logger
 from msgspec import Struct
 
+from ..clock import boottime_s
 from ..protocol.job import Job, Step, task_name
 
 if TYPE_CHECKING:
@@ -106,6 +107,8 @@
     ----------
     steps : dict
         States of steps of which a task was started, by occurrence and number.
+    finished_s : float
+        The process's clock when it first saw the job over, 0 before.
     """
 
     job: Job
@@ -246,6 +249,7 @@
         """Keep in `active` what may still start or run."""
         if entry.is_over and not entry.has_open_runs:
             self.active.pop(entry.job.id, None)
+            entry.finished_s = entry.finished_s or boottime_s()
         else:
             self.active[entry.job.id] = entry
 
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -16,6 +16,7 @@
 from hyssoprill.protocol.job import Amounts, Job, Step
 from hyssoprill.protocol.upstream_messages import (
     EndRow,
+    RunRow,
     UpstreamReport,
     VmHeartbeat,
     VmOrders,
@@ -100,6 +101,8 @@
         self.closed: list[tuple[str, int]] = []
         self.gone: list[str] = []
         self.accepting = True
+        self.draining = False
+        self.running: list[RunRow] = []
 
     def report(self) -> None:
         self.number += 1
@@ -110,9 +113,10 @@
             self.accepting,
             CAPACITY,
             ["a", self.rack],
-            [],
+            list(self.running),
             list(self.ended),
             list(self.closed),
+            draining=self.draining,
         )
         self.entry.planner.reported(
             VmReport(self.vm, 1.0, self.number, 0, 0, [upstream], list(self.gone))
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from hyssoprill.coordination.planner import fleet
+from hyssoprill.coordination.planner import fleet, planner
 from hyssoprill.protocol.job import Amounts, Step
+from hyssoprill.protocol.upstream_messages import RunRow
 
 ONE = Amounts(1, 1000, 1000)
 WHOLE = Amounts(8, 64_000, 262_144)
@@ -222,3 +223,55 @@
         assert len(steps) == 1
 
     play(scenario)
+
+
+def test_job_that_is_long_over_is_dropped_from_the_store(play, make_vm, monkeypatch):
+    monkeypatch.setattr(planner, "DROP_INTERVAL_S", 0.1)
+
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        entry.planner._state_kept_s = 0.2
+        await world.submit(NAME)
+        await world.submit("00000000000000a2")
+        await world.until(lambda: len(entry.ordered_runs()) == 2)
+        vm.end(f"{NAME}.0.0.0", 1, "done")
+        await world.until(lambda: status(entry) == "completed")
+        await world.until(lambda: NAME not in entry.replica.ledger.jobs)
+        kept = [
+            key for key, one in world.store.topic("jobs").newest.items() if one.value
+        ]
+        assert not [key for key in kept if NAME in key]
+        assert "job/00000000000000a2" in kept
+
+    play(scenario)
+
+
+def test_saving_work_moves_off_a_draining_upstream(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME, Step(need=ONE, checkpoints=True, estimate_ms=9000))
+        await world.until(entry.ordered_runs)
+        vm.accepting, vm.draining = False, True
+        vm.report()
+        stopping = [(f"{NAME}.0.0.0", 1)]
+        await world.until(lambda: entry.orders("vm-1")[vm.key].stopping == stopping)
+
+    play(scenario)
+
+
+def test_lapsed_run_resumes_from_its_newest_progress(play, make_vm, monkeypatch):
+    monkeypatch.setattr(fleet, "LAPSE_AFTER_S", 0.5)
+
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME, Step(need=ONE, checkpoints=True))
+        await world.until(entry.ordered_runs)
+        vm.running = [RunRow(f"{NAME}.0.0.0", 1, "half", 50)]
+        vm.report()
+        await asyncio.sleep(1.0)
+        other = make_vm(entry, "vm-2")
+        other.report()
+        await world.until(lambda: entry.orders("vm-2")[other.key].runs)
+        assert entry.orders("vm-2")[other.key].runs[0].saved == "half"
+
+    play(scenario)
