--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -77,9 +77,9 @@
                 found = {one.key: one for one in message.upstreams}
         return found
 
-    def ordered_runs(self) -> dict[str, tuple[str, int]]:
-        """Return task, upstream and run of all newest orders."""
-        vms = {name for name, _ in self.sent}
+    def ordered_runs(self, *names: str) -> dict[str, tuple[str, int]]:
+        """Return task, upstream and run of the newest orders, of all VMs or some."""
+        vms = set(names) or {name for name, _ in self.sent}
         return {
             run.task: (key, run.run)
             for vm in vms
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -271,7 +271,7 @@
         await asyncio.sleep(1.0)
         other = make_vm(entry, "vm-2")
         other.report()
-        await world.until(lambda: entry.orders("vm-2")[other.key].runs)
+        await world.until(lambda: f"{NAME}.0.0.0" in entry.ordered_runs("vm-2"))
         assert entry.orders("vm-2")[other.key].runs[0].saved == "half"
 
     play(scenario)
