--- a/src/hyssoprill/coordination/intake/intake.py
+++ b/src/hyssoprill/coordination/intake/intake.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from ...ports.store import StorePort
-    from ...protocol.job import Job
+    from ...protocol.job import Job, Step
     from ...state.ledger import JobEntry
     from ..planner.replica import Replica
 
@@ -74,7 +74,9 @@
             job=job.id,
             queue=job.queue,
             workspace=job.workspace,
-            tasks=[step.count for step in job.steps],
+            priority=job.priority,
+            steps=[_describe(step) for step in job.steps],
+            times=job.times,
             took_s=round(boottime_s() - began_s, 4),
         )
 
@@ -145,6 +147,25 @@
         _fail(batch, doubt)
 
 
+def _describe(step: Step) -> dict[str, Any]:
+    """Return what a log reader needs to know of a step."""
+    need = step.need
+    flags = {
+        "gang": step.gang,
+        "rack_sensitive": step.rack_sensitive,
+        "checkpoints": step.checkpoints,
+        "speculative": step.speculative,
+        "long_running": step.long_running,
+    }
+    return {
+        "count": step.count,
+        "need": [need.accelerators, need.millicores, need.memory_mb],
+        "estimate_ms": step.estimate_ms,
+        "flags": [name for name, is_set in flags.items() if is_set],
+        "places": [step.label, step.data_rack, step.max_per_upstream],
+    }
+
+
 def _fail(
     batch: list[tuple[Record, asyncio.Future[None]]], exc: Exception | None
 ) -> None:
