--- a/src/hyssoprill/coordination/intake/entry.py
+++ b/src/hyssoprill/coordination/intake/entry.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from ...job_settings import JobBounds
     from ...ports.store import StorePort
     from ...protocol.messages import Envelope
     from ...transport.metrics import Metrics
@@ -45,6 +46,8 @@
         This entry, and where it listens for agents.
     build : callable
         Makes the operator's view from his records.
+    bounds : JobBounds
+        What is promised to callers.
     """
 
     def __init__(
@@ -57,7 +60,7 @@
         build: Build,
         metrics: Metrics,
         *,
-        state_kept_s: float,
+        bounds: JobBounds,
     ) -> None:
         self.name = name
         self.metrics = metrics
@@ -67,7 +70,7 @@
         self._incarnation = new_incarnation()
         self._codec = FrameCodec(cluster_key, name, self._incarnation)
         self._store = store
-        self._state_kept_s = state_kept_s
+        self._bounds = bounds
         self.replica = Replica(store, self._changed)
         self.directory = DirectoryFollower(store, build, self._changed)
         self.intake = Intake(store, self.replica)
@@ -89,7 +92,8 @@
             self.keeper,
             lambda: self.directory.current,
             self._send,
-            state_kept_s=self._state_kept_s,
+            state_kept_s=self._bounds.state_kept_s,
+            reclaim_s=self._bounds.reclaim_ms / 1000,
         )
         for work in (
             self.replica.run(),
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -10,7 +10,7 @@
 from ..upstream.authority import LAPSE_AFTER_S
 
 if TYPE_CHECKING:
-    from ...protocol.upstream_messages import UpstreamReport, VmReport
+    from ...protocol.upstream_messages import RunRow, UpstreamReport, VmReport
 
 FRESH_S = 1.6
 """A VM that was not heard for this long gets no new starts."""
@@ -84,11 +84,20 @@
 
     def saved(self, key: str, task: str, run: int) -> str:
         """Return the newest progress of a run that its upstream has listed."""
+        row = self._row(key, task, run)
+        return row.saved if row is not None else ""
+
+    def percent(self, key: str, task: str, run: int) -> int:
+        """Return how far a run was when its upstream last listed it."""
+        row = self._row(key, task, run)
+        return row.percent if row is not None else 0
+
+    def _row(self, key: str, task: str, run: int) -> RunRow | None:
         report = self.find(key)
         for row in report.running if report is not None else ():
             if (row.task, row.run) == (task, run):
-                return row.saved
-        return ""
+                return row
+        return None
 
     def why_over(self, key: str) -> str:
         """Return why nothing can run on a lifetime any more, or ''."""
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -59,6 +59,8 @@
         Sends a message to the agent of a VM.
     state_kept_s : float
         For how long callers may ask for a job that is over.
+    reclaim_s : float
+        Within this time a guaranteed job has to have begun.
     """
 
     def __init__(
@@ -68,13 +70,15 @@
         directory: Callable[[], Directory],
         send: Send,
         *,
-        state_kept_s: float = 120.0,
+        state_kept_s: float,
+        reclaim_s: float,
     ) -> None:
         self._replica = replica
         self._keeper = keeper
         self._directory = directory
         self._send = send
         self._state_kept_s = state_kept_s
+        self._reclaim_s = reclaim_s
         self._dropped_s = boottime_s()
         self._news = asyncio.Event()
         self._fleet = Fleet()
@@ -302,7 +306,9 @@
         if not waiting:
             return
         waited_s = {step.key: step.waited_s for step in waiting}
-        plan = plan_round(waiting, survey.upstreams(), survey.units())
+        plan = plan_round(
+            waiting, survey.upstreams(), survey.units(), reclaim_s=self._reclaim_s
+        )
         for unit, why in plan.stops:
             tasks = changes.tasks(unit.step)
             for index in unit.indices:
--- a/src/hyssoprill/coordination/planner/replica.py
+++ b/src/hyssoprill/coordination/planner/replica.py
@@ -17,6 +17,8 @@
 
 READ_WAIT_S = 0.8
 RETRY_DELAY_S = 0.2
+UNREACHED_FOR_S = 0.15
+"""Reads that fail for this long show that the store is out of reach from here."""
 
 
 class Replica:
@@ -30,6 +32,8 @@
         When a record of the planner was last read.
     end : int
         Offset up to which the topic is in the ledger.
+    lost_s : float
+        Since when reads fail, 0 while they do not.
     """
 
     def __init__(self, store: StorePort, on_change: Callable[[], None]) -> None:
@@ -39,17 +43,23 @@
         self.end: int | None = None
         self._store = store
         self._on_change = on_change
-        self._reachable = True
+        self.lost_s = 0.0
 
     @property
     def age_s(self) -> float:
         """How old what the ledger says may be."""
         return boottime_s() - self.proven_s
 
+    @property
+    def unreached_s(self) -> float:
+        """For how long the store has surely been out of reach, 0 where it is not."""
+        lost_for_s = boottime_s() - self.lost_s if self.lost_s else 0.0
+        return lost_for_s if lost_for_s > UNREACHED_FOR_S else 0.0
+
     async def run(self) -> None:
-        """Read on for ever."""
+        """Read on for ever; without waiting for news while reads fail."""
         while True:
-            await self.read_once(READ_WAIT_S)
+            await self.read_once(0.0 if self.lost_s else READ_WAIT_S)
 
     async def read_once(self, wait_s: float) -> None:
         """Read what is new; return also where the store does not answer."""
@@ -89,10 +99,16 @@
         return changed
 
     def _note_reachable(self, reachable: bool, why: str) -> None:
-        if reachable != self._reachable:
-            event = "store_regained" if reachable else "store_lost"
-            decision(event, why=why, age_s=round(self.age_s, 2))
-        self._reachable = reachable
+        if reachable == (not self.lost_s):
+            return
+        if reachable:
+            decision("store_regained", after_s=round(boottime_s() - self.lost_s, 2))
+            self.lost_s = 0.0
+            # A planner that could not renew meanwhile gets the time to do so.
+            self.planner_seen_s = boottime_s()
+        else:
+            decision("store_lost", why=why, age_s=round(self.age_s, 2))
+            self.lost_s = boottime_s()
 
 
 __all__ = ["Replica"]
--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -9,6 +9,7 @@
 from ...clock import boottime_s
 from ...protocol.job import NOTHING
 from ...state.ledger import OPEN, WAITING, StepKey
+from ..policy.dispatch.leaving import time_left_s
 from ..policy.dispatch.view import (
     ACCELERATOR_CORES,
     RunningUnit,
@@ -58,11 +59,14 @@
 
     def _view(self, report: UpstreamReport, marks: int) -> UpstreamView:
         used, leaving = NOTHING, NOTHING
+        dear = False
         for task, run in self.ledger.open_runs.get(report.key, {}).items():
-            need = self._step(run.step).need
-            used = used.plus(need)
+            step = self._step(run.step)
+            used = used.plus(step.need)
             if (task, run.run) in self.notes.stopping:
-                leaving = leaving.plus(need)
+                leaving = leaving.plus(step.need)
+            else:
+                dear |= not step.checkpoints
         return UpstreamView(
             report.key,
             report.zone,
@@ -73,6 +77,7 @@
             report.capacity.minus(used),
             leaving,
             marks,
+            dear,
         )
 
     def waiting(self, now_ms: int) -> list[WaitingStep]:
@@ -134,6 +139,7 @@
             runs = [(key.task(index), state.tasks[index].run) for index in group]
             if not runs or any(run in self.notes.stopping for run in runs):
                 continue
+            pairs = list(zip(group, runs, strict=True))
             cores = step.need.millicores / 1000
             cores += ACCELERATOR_CORES * step.need.accelerators
             ran_s = boottime_s() - min(self.notes.began(run) for run in runs)
@@ -148,10 +154,19 @@
                     entry.job.workspace,
                     lost_s * cores * len(group),
                     entry.job.id in claims,
+                    max(self._left_s(step, state, i, run) for i, run in pairs),
                 )
             )
         return units
 
+    def _left_s(
+        self, step: Step, state: StepState, index: int, run: tuple[str, int]
+    ) -> float:
+        """Return how long an open run probably still takes."""
+        ran_s = boottime_s() - self.notes.began(run)
+        upstream = state.tasks[index].upstream
+        return time_left_s(step, ran_s, self.fleet.percent(upstream, *run))
+
     def _claims(self) -> set[str]:
         """Return the urgent jobs that their workspaces' guarantees cover."""
         needs: dict[str, list[tuple[int, str, int]]] = defaultdict(list)
--- a/src/hyssoprill/coordination/planner/term.py
+++ b/src/hyssoprill/coordination/planner/term.py
@@ -24,11 +24,11 @@
     from ...ports.store import StorePort
     from .replica import Replica
 
-PROOF_S = 1.4
+PROOF_S = 1.1
 """After its last stored record, a planner may grant leases for this long."""
-CLAIM_AFTER_S = 2.0
+CLAIM_AFTER_S = 1.6
 """Silence in the store after which another entry may claim; above `PROOF_S`."""
-RENEW_INTERVAL_S = 0.5
+RENEW_INTERVAL_S = 0.4
 CHECK_INTERVAL_S = 0.1
 APPEND_RETRY_S = 0.1
 
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from .placing import free, place_each, place_gang, soon_free, take, usable
-from .preempting import make_room
+from .preempting import STOP_COST, make_room
 from .ranking import rank
 from .view import Placement, Plan
 
@@ -22,12 +23,18 @@
 """Steps without room whose place is kept from later steps in one round."""
 PREEMPT_SLACK_S = 1.2
 """A step takes lower priorities' room when it has less than this left to wait."""
+RECLAIM_MARGIN_S = 1.1
+"""Of the time to reclaim what is guaranteed, for the stops and the starts."""
+END_FACTOR = 1.3
+"""Runs may take this much longer than they were expected to."""
 
 
 def plan_round(
     waiting: Iterable[WaitingStep],
     upstreams: list[UpstreamView],
     units: list[RunningUnit],
+    *,
+    reclaim_s: float,
 ) -> Plan:
     """Decide what starts and stops now.
 
@@ -39,6 +46,8 @@
         Upstreams that may get starts; their room is used up.
     units : list of RunningUnit
         What runs and is not being stopped.
+    reclaim_s : float
+        Within this time a guaranteed job has to have its room.
     """
     plan = Plan()
     held = 0
@@ -46,7 +55,7 @@
         candidates = _eligible(step, upstreams)
         if not candidates or _start_now(step, candidates, plan):
             continue
-        stopped = _preempt(step, candidates, units)
+        stopped = _preempt(step, candidates, units, reclaim_s)
         if stopped is not None:
             plan.stops += [(unit, f"room for {step.key.job_id}") for unit in stopped]
             units = [unit for unit in units if unit not in stopped]
@@ -99,27 +108,52 @@
 
 
 def _preempt(
-    step: WaitingStep, candidates: list[UpstreamView], units: list[RunningUnit]
+    step: WaitingStep,
+    candidates: list[UpstreamView],
+    units: list[RunningUnit],
+    reclaim_s: float,
 ) -> list[RunningUnit] | None:
     """Return what to stop so that a step fits, or None where nothing may stop.
 
-    What is guaranteed is taken from anybody. Beyond that, only from lower priorities,
-    when the step is about to miss its objective, and where no more work is lost than
-    the step itself has to do.
+    What is guaranteed is taken from anybody. Beyond that, only from lower priorities:
+    an urgent job stops work that saves its progress; others when they are about to
+    miss their objective, and where no more work is lost than they have to do.
     """
     if step.within_guarantee:
+        return _reclaim(step, candidates, units, reclaim_s)
+    lower = [unit for unit in units if unit.priority > step.job.priority]
+    if 0 <= step.slack_s < PREEMPT_SLACK_S:
+        return make_room(step, candidates, lower, max_cost=step.work)
+    if step.job.priority == 0 and step.slack_s >= 0:
+        saving = [unit for unit in lower if unit.cost <= 0]
+        return make_room(step, candidates, saving)
+    return None
+
+
+def _reclaim(
+    step: WaitingStep,
+    candidates: list[UpstreamView],
+    units: list[RunningUnit],
+    reclaim_s: float,
+) -> list[RunningUnit] | None:
+    """Return what to stop for a guaranteed job.
 
-        def may_take(unit: RunningUnit) -> bool:
-            return unit.priority > 0 or not unit.within_guarantee
-
-        return make_room(step, candidates, units, may_take)
-    if not 0 <= step.slack_s < PREEMPT_SLACK_S:
+    Runs that will probably end in time are counted on, and not stopped.
+    """
+    may_wait_s = reclaim_s - RECLAIM_MARGIN_S - step.waited_s
+    takeable = [
+        replace(unit, cost=-STOP_COST) if _ends_within(unit, may_wait_s) else unit
+        for unit in units
+        if unit.priority > 0 or not unit.within_guarantee
+    ]
+    chosen = make_room(step, candidates, takeable)
+    if chosen is None:
         return None
+    return [unit for unit in chosen if not _ends_within(unit, may_wait_s)]
 
-    def is_lower(unit: RunningUnit) -> bool:
-        return unit.priority > step.job.priority
 
-    return make_room(step, candidates, units, is_lower, max_cost=step.work)
+def _ends_within(unit: RunningUnit, seconds: float) -> bool:
+    return unit.left_s * END_FACTOR < seconds
 
 
 __all__ = ["plan_round"]
--- a/src/hyssoprill/coordination/policy/dispatch/placing.py
+++ b/src/hyssoprill/coordination/policy/dispatch/placing.py
@@ -2,7 +2,8 @@
 
 Load pattern: tasks that need whole upstreams and gangs that need one rack arrive
 between many small ones. Small tasks go where least is left over, so that whole
-upstreams and racks stay free for the large.
+upstreams and racks stay free for the large. Work that would be lost at a stop is kept
+together, so that guaranteed jobs find places that are cheap to vacate.
 """
 
 from __future__ import annotations
@@ -85,6 +86,7 @@
 def take(step: WaitingStep, upstream: UpstreamView, room: Room) -> None:
     """Account for one task of a step on an upstream."""
     need = step.step.need
+    upstream.holds_dear_work |= not step.step.checkpoints
     upstream.free = upstream.free.minus(need)
     if room is soon_free:
         short = [max(-amount, 0) for amount in upstream.free]
@@ -143,12 +145,15 @@
     """Spread tasks over upstreams, best ones first."""
     data_rack = step.step.data_rack
 
-    def rank(one: UpstreamView) -> tuple[bool, bool, int, int, int, str]:
+    is_dear = not step.step.checkpoints
+
+    def rank(one: UpstreamView) -> tuple[bool, bool, int, bool, int, int, str]:
         left = room(one).minus(step.step.need)
         return (
             one.key in step.avoid,
             bool(data_rack) and one.rack != data_rack,
             one.penalty,
+            one.holds_dear_work != is_dear,
             left.accelerators,
             left.millicores,
             one.key,
--- a/src/hyssoprill/coordination/policy/dispatch/preempting.py
+++ b/src/hyssoprill/coordination/policy/dispatch/preempting.py
@@ -14,8 +14,6 @@
 from .placing import place_each, place_gang, soon_free, take
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from .view import RunningUnit, UpstreamView, WaitingStep
 
 STOP_COST = 1.0
@@ -26,7 +24,6 @@
     step: WaitingStep,
     candidates: list[UpstreamView],
     units: list[RunningUnit],
-    may_stop: Callable[[RunningUnit], bool],
     *,
     max_cost: float = float("inf"),
 ) -> list[RunningUnit] | None:
@@ -37,15 +34,16 @@
 
     Parameters
     ----------
+    units : list of RunningUnit
+        What may be stopped.
     max_cost : float
         Most core seconds that may be lost.
     """
-    allowed = [unit for unit in units if may_stop(unit)]
     best: list[RunningUnit] | None = None
     best_cost = max_cost
     best_domain: list[UpstreamView] = []
     for domain in _domains(step, candidates):
-        found = _vacate(step, domain, allowed)
+        found = _vacate(step, domain, units)
         if found is not None and _cost(found) <= best_cost:
             best, best_cost, best_domain = found, _cost(found), domain
             if not found:
@@ -115,8 +113,8 @@
     return place_each(step, domain, soon_free)
 
 
-def _rank(unit: RunningUnit) -> tuple[int, bool, float]:
-    return -unit.priority, unit.within_guarantee, unit.cost
+def _rank(unit: RunningUnit) -> tuple[bool, float, int]:
+    return unit.within_guarantee, unit.cost, -unit.priority
 
 
 def _cost(units: list[RunningUnit]) -> float:
@@ -177,4 +175,4 @@
     return kept
 
 
-__all__ = ["make_room"]
+__all__ = ["STOP_COST", "make_room"]
--- a/src/hyssoprill/coordination/policy/dispatch/view.py
+++ b/src/hyssoprill/coordination/policy/dispatch/view.py
@@ -27,6 +27,8 @@
         In use by runs that are being stopped.
     penalty : int
         Upstreams with a lower penalty are preferred.
+    holds_dear_work : bool
+        Whether it runs work that would be lost at a stop.
     """
 
     key: str
@@ -38,6 +40,7 @@
     free: Amounts
     leaving: Amounts = NOTHING
     penalty: int = 0
+    holds_dear_work: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +53,8 @@
         Upstream of each open task.
     cost : float
         Core seconds of work that are lost when it is stopped now.
+    left_s : float
+        How long it probably still runs.
     """
 
     step: StepKey
@@ -60,6 +65,7 @@
     workspace: str
     cost: float
     within_guarantee: bool = False
+    left_s: float = float("inf")
 
 
 @dataclass(slots=True)
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -13,7 +13,7 @@
 from .authority import CLOCK_RATE_ERROR
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Iterable
 
     from ...ports.upstream import CheckIn, Listing, UpstreamPort
     from ...protocol.upstream_key import UpstreamKey
@@ -28,6 +28,8 @@
 RETRY_DELAY_S = 0.15
 MIN_HOLD_INTERVAL_S = 0.05
 MIN_LEASE_S = 0.3
+REPORTED_PERCENT = 10
+"""Progress is reported again when it has grown by so much."""
 MIN_STALL_S = 5.0
 """A task whose progress stands still for this long is reported as stalled."""
 
@@ -74,6 +76,7 @@
         self._closed: set[RunKey] = set()
         self._refused: dict[RunKey, str] = {}
         self._listing: Listing | None = None
+        self._reported: tuple[RunRow, ...] = ()
         self._progress: dict[RunKey, tuple[int, float]] = {}
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
@@ -96,6 +99,7 @@
     def report(self) -> UpstreamReport:
         """Return what the planner is told."""
         self.has_new_progress = False
+        self._reported = self._listing.running if self._listing is not None else ()
         listing, check_in = self._listing, self.check_in
         now_s = boottime_s()
         running = list(listing.running) if listing is not None else []
@@ -301,8 +305,7 @@
             for key, at in self._stop_answered_s.items()
             if at < sent_s and key not in present
         }
-        if before is not None and _saved(before) != _saved(listing):
-            self.has_new_progress = True
+        self.has_new_progress |= _progress_differs(self._reported, listing.running)
         news = closed - self._closed
         self._closed |= closed
         self._stop_strangers()
@@ -351,8 +354,18 @@
     return row.task, row.run
 
 
-def _saved(listing: Listing) -> dict[RunKey, str]:
-    return {_run_key(row): row.saved for row in listing.running}
+def _progress_differs(old: Iterable[RunRow], new: Iterable[RunRow]) -> bool:
+    """Tell whether tasks have saved anew or come further by a good part."""
+    known = {_run_key(row): row for row in old}
+    for row in new:
+        before = known.get(_run_key(row))
+        if before is None:
+            continue
+        if row.saved != before.saved:
+            return True
+        if row.percent - before.percent >= REPORTED_PERCENT:
+            return True
+    return False
 
 
 def _essence(check_in: CheckIn) -> tuple[object, ...]:
--- a/src/hyssoprill/job_settings.py
+++ b/src/hyssoprill/job_settings.py
@@ -40,6 +40,8 @@
         A key that was taken away serves no longer than this.
     stop_grace_s : float
         From SIGTERM until the process is killed.
+    reclaim_ms : int
+        Within this time a guaranteed job has to have begun.
     state_kept_s : float
         For how long callers may ask for a job that is over.
     """
@@ -47,6 +49,7 @@
     max_lease_ms: Milliseconds
     key_revocation_ms: Milliseconds
     stop_grace_s: Seconds
+    reclaim_ms: Milliseconds = 2900
     state_kept_s: Seconds = 120.0
 
 
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -50,6 +50,8 @@
             self.keeper,
             lambda: self.directory,
             lambda vm, message: self.sent.append((vm, message)),
+            state_kept_s=120.0,
+            reclaim_s=2.9,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/tests/coordination/policy/dispatch/conftest.py
+++ b/tests/coordination/policy/dispatch/conftest.py
@@ -61,6 +61,7 @@
         need: Amounts = WHOLE,
         priority: int = 2,
         cost: float = 10.0,
+        left_s: float = float("inf"),
     ) -> RunningUnit:
         """Add a unit that runs; the room is taken from its upstreams."""
         for key in places:
@@ -74,6 +75,7 @@
             priority,
             "other",
             cost,
+            left_s=left_s,
         )
         self.units.append(unit)
         return unit
