Store start times and progress of runs; find the planner among all entries at once

Change: step records hold the start and, each second, the progress of open runs; agents report to all entries while none answers as planner; a new planner lets the VMs report for 0.4 s before it starts anything.

--- a/src/hyssoprill/coordination/planner/changes.py
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec.structs import replace
 
+from ...clock import unix_ms
 from ...ports.store import Record
 from ...state.ledger import DONE, FAILED, OPEN, WAITING, StepState, TaskState
 
@@ -58,10 +59,19 @@
         number = 1 + max(task.run for task in tasks)
         for index, upstream in places.items():
             tasks[index] = replace(
-                tasks[index], phase=OPEN, run=number, upstream=upstream
+                tasks[index],
+                phase=OPEN,
+                run=number,
+                upstream=upstream,
+                began_ms=unix_ms(),
             )
         return number
 
+    def note_progress(self, key: StepKey, index: int, progress: str) -> None:
+        """Keep what an open run has saved, for the case that its upstream is lost."""
+        tasks = self._edit(key)
+        tasks[index] = replace(tasks[index], progress=progress)
+
     def end(
         self, key: StepKey, index: int, how: str, saved: str, *, max_attempts: int
     ) -> None:
@@ -89,7 +99,8 @@
             tasks[one] = replace(
                 tasks[one],
                 failures=failures,
-                saved=saved or task.saved,
+                saved=saved or task.progress or task.saved,
+                progress="",
                 failed_run=failed_run,
             )
 
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from ...protocol.upstream_messages import RunRow, UpstreamReport, VmReport
 
+SETTLE_S = 0.4
+"""A new planner starts nothing for this long after the first report, so that what is
+urgent finds the whole fleet and not just the upstreams that reported first."""
 FRESH_S = 1.6
 """A VM that was not heard for this long gets no new starts."""
 
@@ -46,16 +49,24 @@
         self.vms: dict[str, VmState] = {}
         self.began_s = boottime_s()
         self._held_s: dict[str, float] = {}
+        self._first_report_s = float("inf")
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the VMs had the time to report in this term."""
+        return boottime_s() - self._first_report_s > SETTLE_S
 
     def restart(self) -> None:
         """Forget all reports, at the start of a term."""
         self.vms.clear()
         self._held_s.clear()
         self.began_s = boottime_s()
+        self._first_report_s = float("inf")
 
     def reported(self, report: VmReport) -> VmState:
         """Take in a whole report."""
         vm = self.heard(report.vm, report.tick_s)
+        self._first_report_s = min(self._first_report_s, boottime_s())
         vm.number = report.number
         vm.orders_applied = (report.term, report.orders)
         for key, old in vm.upstreams.items():
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -21,7 +21,7 @@
 from .changes import Changes
 from .fleet import Fleet
 from .retention import expired_records
-from .runs import RunNotes
+from .runs import StopNotes, ran_s
 from .survey import Survey
 from .suspicion import Suspicion
 
@@ -42,6 +42,8 @@
 """Rounds come at once with news, and this often without, for what time changes."""
 MIN_ROUND_INTERVAL_S = 0.01
 DROP_INTERVAL_S = 5.0
+PROGRESS_INTERVAL_S = 1.0
+"""Saved progress is stored this often: a process and its upstream may end together."""
 
 
 class Planner:
@@ -80,9 +82,10 @@
         self._state_kept_s = state_kept_s
         self._reclaim_s = reclaim_s
         self._dropped_s = boottime_s()
+        self._progress_s = boottime_s()
         self._news = asyncio.Event()
         self._fleet = Fleet()
-        self._notes = RunNotes()
+        self._stopping = StopNotes()
         self._suspicion = Suspicion()
         self._waiting_since_s: dict[StepKey, float] = {}
         self._term = 0
@@ -131,7 +134,7 @@
     def _begin_term(self) -> None:
         self._term = self._keeper.term
         self._fleet.restart()
-        self._notes.clear()
+        self._stopping.clear()
         self._sent.clear()
         self._acked.clear()
         self._number = 0
@@ -158,10 +161,11 @@
         changes = Changes(self._replica.ledger)
         acked = self._close_ended(changes)
         self._close_over(changes)
+        self._note_progress(changes)
         if changes:
             await self._keeper.append(changes.records())
         self._acked.update(acked)
-        self._notes.keep_only(self._replica.ledger.open_runs)
+        self._stopping.keep_only(self._replica.ledger.open_runs)
         self._stop_unwanted()
         self._stop_leaving()
         changes = Changes(self._replica.ledger)
@@ -213,6 +217,23 @@
                     saved = self._fleet.saved(key, task, run.run)
                     self._close(changes, key, task, run, why, saved)
 
+    def _note_progress(self, changes: Changes) -> None:
+        """Keep from time to time what open runs have saved."""
+        if boottime_s() - self._progress_s < PROGRESS_INTERVAL_S:
+            return
+        self._progress_s = boottime_s()
+        for vm in self._fleet.vms.values():
+            for report in vm.upstreams.values():
+                open_runs = self._replica.ledger.open_runs.get(report.key, {})
+                for row in report.running:
+                    run = open_runs.get(row.task)
+                    if run is None or run.run != row.run or not row.saved:
+                        continue
+                    task = changes.task(run.step, run.index)
+                    known = task.progress or task.saved
+                    if task.phase == OPEN and known != row.saved:
+                        changes.note_progress(run.step, run.index, row.saved)
+
     def _close(
         self,
         changes: Changes,
@@ -222,7 +243,8 @@
         how: str,
         saved: str,
     ) -> None:
-        if changes.task(run.step, run.index).phase != OPEN:
+        before = changes.task(run.step, run.index)
+        if before.phase != OPEN:
             return
         job = self._replica.ledger.jobs[run.step.job_id].job
         changes.end(run.step, run.index, how, saved, max_attempts=job.max_attempts)
@@ -230,15 +252,14 @@
             self._suspicion.succeeded(upstream)
         elif how == "failed" or how.startswith("refused"):
             self._suspicion.failed(upstream, job.id, boottime_s())
-        ran_s = boottime_s() - self._notes.began((task, run.run))
         decision(
             "run_ended",
             task=task,
             run=run.run,
             how=how,
             upstream=upstream,
-            ran_s=round(ran_s, 2),
-            why=self._notes.stopping.get((task, run.run), ""),
+            ran_s=round(ran_s(before), 2),
+            why=self._stopping.reason((task, run.run)),
             term=self._term,
         )
 
@@ -252,11 +273,14 @@
                 percents = {(row.task, row.run): row.percent for row in report.running}
                 for task, run in ledger.open_runs.get(report.key, {}).items():
                     name = (task, run.run)
-                    if name in self._notes.stopping:
+                    if name in self._stopping:
                         continue
-                    step = ledger.jobs[run.step.job_id].job.steps[run.step.step]
-                    ran_s = boottime_s() - self._notes.began(name)
-                    left_s = time_left_s(step, ran_s, percents.get(name, 0))
+                    entry = ledger.jobs[run.step.job_id]
+                    step = entry.job.steps[run.step.step]
+                    state = entry.step_state(run.step.occurrence, run.step.step)
+                    left_s = time_left_s(
+                        step, ran_s(state.tasks[run.index]), percents.get(name, 0)
+                    )
                     if is_better_moved(step, left_s, report.remaining_ms / 1000):
                         self._stop(*name, "upstream leaves")
 
@@ -283,7 +307,7 @@
                     reason = why
                     if not reason and name in stalled:
                         reason = "no progress"
-                    if reason and name not in self._notes.stopping:
+                    if reason and name not in self._stopping:
                         if reason == "no progress":
                             upstream = state.tasks[index].upstream
                             self._suspicion.failed(upstream, entry.job.id, boottime_s())
@@ -291,19 +315,19 @@
 
     def _stop(self, task: str, run: int, why: str) -> None:
         decision("run_to_stop", task=task, run=run, why=why, term=self._term)
-        self._notes.stopping[task, run] = why
+        self._stopping.add((task, run), why)
 
     def _start_waiting(self, changes: Changes) -> None:
         survey = Survey(
             self._replica.ledger,
             self._fleet,
             self._directory(),
-            self._notes,
+            self._stopping,
             self._suspicion,
             self._waiting_since_s,
         )
         waiting = survey.waiting(unix_ms())
-        if not waiting:
+        if not waiting or not self._fleet.is_settled:
             return
         waited_s = {step.key: step.waited_s for step in waiting}
         plan = plan_round(
@@ -325,7 +349,6 @@
             number = changes.start(key, chosen)
             for index, upstream in chosen.items():
                 task = key.task(index)
-                self._notes.began((task, number))
                 decision(
                     "run_planned",
                     task=task,
@@ -355,7 +378,7 @@
         ledger = self._replica.ledger
         runs, stopping = [], []
         for task, run in ledger.open_runs.get(key, {}).items():
-            if (task, run.run) in self._notes.stopping:
+            if (task, run.run) in self._stopping:
                 stopping.append((task, run.run))
                 continue
             entry = ledger.jobs[run.step.job_id]
--- a/src/hyssoprill/coordination/planner/runs.py
+++ b/src/hyssoprill/coordination/planner/runs.py
@@ -2,45 +2,52 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ...clock import boottime_s
+from ...clock import unix_ms
 
 if TYPE_CHECKING:
-    from ...state.ledger import OpenRun
+    from ...state.ledger import OpenRun, TaskState
 
 RunKey = tuple[str, int]
 
 
-@dataclass(slots=True)
-class RunNotes:
-    """Start times, and the runs that are to stop with the reason.
+class StopNotes:
+    """Runs that are to stop, with the reason.
 
-    A new planner knows neither: it takes runs to have begun when it first saw them,
-    and decides anew what has to stop.
+    A new planner does not know them, and decides anew what has to stop.
     """
 
-    began_s: dict[RunKey, float] = field(default_factory=dict)
-    stopping: dict[RunKey, str] = field(default_factory=dict)
+    def __init__(self) -> None:
+        self._reasons: dict[RunKey, str] = {}
 
-    def began(self, key: RunKey) -> float:
-        """Return since when a run is known."""
-        return self.began_s.setdefault(key, boottime_s())
+    def __contains__(self, key: RunKey) -> bool:
+        return key in self._reasons
+
+    def add(self, key: RunKey, why: str) -> None:
+        """Note that a run is to stop."""
+        self._reasons[key] = why
+
+    def reason(self, key: RunKey) -> str:
+        """Return why a run is to stop, or ''."""
+        return self._reasons.get(key, "")
 
     def keep_only(self, open_runs: dict[str, dict[str, OpenRun]]) -> None:
         """Forget runs that are no longer open."""
         present = {
             (task, run.run) for runs in open_runs.values() for task, run in runs.items()
         }
-        for known in (self.began_s, self.stopping):
-            for key in [one for one in known if one not in present]:
-                del known[key]
+        for key in [one for one in self._reasons if one not in present]:
+            del self._reasons[key]
 
     def clear(self) -> None:
         """Forget all, at the start of a term."""
-        self.began_s.clear()
-        self.stopping.clear()
+        self._reasons.clear()
+
+
+def ran_s(task: TaskState) -> float:
+    """Return for how long the newest run of a task has been under way."""
+    return max(unix_ms() - task.began_ms, 0) / 1000
 
 
-__all__ = ["RunKey", "RunNotes"]
+__all__ = ["RunKey", "StopNotes", "ran_s"]
--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -16,6 +16,7 @@
     UpstreamView,
     WaitingStep,
 )
+from .runs import ran_s
 from .suspicion import EXCLUDE_MARKS
 
 if TYPE_CHECKING:
@@ -24,7 +25,7 @@
     from ...state.directory import Directory
     from ...state.ledger import JobEntry, Ledger, StepState
     from .fleet import Fleet
-    from .runs import RunNotes
+    from .runs import StopNotes
     from .suspicion import Suspicion
 
 RACK_LABEL_INDEX = 1
@@ -38,7 +39,7 @@
     ledger: Ledger
     fleet: Fleet
     directory: Directory
-    notes: RunNotes
+    stopping: StopNotes
     suspicion: Suspicion
     waiting_since_s: dict[StepKey, float]
 
@@ -63,7 +64,7 @@
         for task, run in self.ledger.open_runs.get(report.key, {}).items():
             step = self._step(run.step)
             used = used.plus(step.need)
-            if (task, run.run) in self.notes.stopping:
+            if (task, run.run) in self.stopping:
                 leaving = leaving.plus(step.need)
             else:
                 dear |= not step.checkpoints
@@ -137,13 +138,13 @@
         units = []
         for group in groups:
             runs = [(key.task(index), state.tasks[index].run) for index in group]
-            if not runs or any(run in self.notes.stopping for run in runs):
+            if not runs or any(run in self.stopping for run in runs):
                 continue
             pairs = list(zip(group, runs, strict=True))
             cores = step.need.millicores / 1000
             cores += ACCELERATOR_CORES * step.need.accelerators
-            ran_s = boottime_s() - min(self.notes.began(run) for run in runs)
-            lost_s = 0.0 if step.checkpoints else ran_s
+            longest_s = max(ran_s(state.tasks[index]) for index in group)
+            lost_s = 0.0 if step.checkpoints else longest_s
             units.append(
                 RunningUnit(
                     key,
@@ -163,9 +164,9 @@
         self, step: Step, state: StepState, index: int, run: tuple[str, int]
     ) -> float:
         """Return how long an open run probably still takes."""
-        ran_s = boottime_s() - self.notes.began(run)
-        upstream = state.tasks[index].upstream
-        return time_left_s(step, ran_s, self.fleet.percent(upstream, *run))
+        task = state.tasks[index]
+        percent = self.fleet.percent(task.upstream, *run)
+        return time_left_s(step, ran_s(task), percent)
 
     def _claims(self) -> set[str]:
         """Return the urgent jobs that their workspaces' guarantees cover."""
--- a/src/hyssoprill/coordination/policy/dispatch/leaving.py
+++ b/src/hyssoprill/coordination/policy/dispatch/leaving.py
@@ -14,7 +14,7 @@
 
 TRUSTED_PERCENT = 10
 """From this progress on, it tells more about the time left than the estimate."""
-LINGER_S = 4.0
+LINGER_S = 8.0
 """Draining upstreams often stay this much longer than they tell."""
 NEARLY_DONE_S = 1.0
 """Work with less than this left is not moved."""
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -38,7 +38,7 @@
 
 HEARTBEAT_INTERVAL_S = 0.6
 PLANNER_SILENCE_S = 1.0
-"""After this without an answer other entries are asked who plans."""
+"""After this without an answer all entries are asked who plans."""
 MEMBERS_WAIT_S = 20.0
 MEMBERS_RETRY_S = 1.0
 
@@ -81,7 +81,8 @@
         self._gone: list[UpstreamKey] = []
         self._entries: dict[str, str] = {}
         self._planner = ""
-        self._planner_heard_s = float("-inf")
+        self._planner_heard_s = boottime_s()
+        self._searching = True
         self._number = 1
         self._orders = (0, 0)
         self._news = asyncio.Event()
@@ -183,26 +184,43 @@
 
     @_handle.register
     async def _(self, message: Referral, sender: str) -> None:
-        if not message.planner or message.planner == sender:
+        if not message.planner or message.planner in (sender, self._planner):
+            return
+        if message.term < self._authority.term:
             return
         self._entries[message.planner] = message.link_url
-        if message.term >= self._authority.term and message.planner != self._planner:
-            self._choose(message.planner)
-            await self._send_report()
+        self._choose(message.planner)
+        await self._send_report()
 
     def _heard(self, sender: str) -> None:
-        if self._planner_heard_s < boottime_s() - PLANNER_SILENCE_S:
-            decision("planner_found", planner=sender, term=self._authority.term)
-        self._planner = sender
+        """Note that an entry answers as the planner."""
         self._planner_heard_s = boottime_s()
+        if self._planner == sender and not self._searching:
+            return
+        decision("planner_found", planner=sender, term=self._authority.term)
+        self._planner = sender
+        self._searching = False
+        for other in self._hub.dialled_urls:
+            if other != sender:
+                self._hub.hang_up(other)
 
     def _choose(self, name: str) -> None:
+        """Report to one entry from now on."""
         self._planner = name
+        self._planner_heard_s = boottime_s()
         self._hub.dial(name, self._entries[name])
 
+    def _search(self) -> None:
+        """Ask all entries who plans."""
+        if not self._searching:
+            decision("planner_lost", planner=self._planner, term=self._authority.term)
+        self._searching = True
+        self._planner = ""
+        for name, url in self._entries.items():
+            self._hub.dial(name, url)
+
     async def _report_loop(self) -> None:
         """Report changes at once, and otherwise that nothing has changed."""
-        silent_since_s = boottime_s()
         while True:
             try:
                 await asyncio.wait_for(self._news.wait(), HEARTBEAT_INTERVAL_S)
@@ -213,11 +231,9 @@
             changed = self._news.is_set()
             self._news.clear()
             self._drop_gone()
-            last_s = max(self._planner_heard_s, silent_since_s)
-            if boottime_s() - last_s > PLANNER_SILENCE_S:
-                silent_since_s = boottime_s()
-                self._try_next_entry()
-            if changed:
+            if boottime_s() - self._planner_heard_s > PLANNER_SILENCE_S:
+                self._search()
+            if changed or not self._planner:
                 await self._send_report()
             else:
                 await self._send(
@@ -228,16 +244,6 @@
         for key in [key for key, one in self._sessions.items() if one.gone]:
             self._end(key, "its lifetime is over")
 
-    def _try_next_entry(self) -> None:
-        names = sorted(self._entries)
-        if not names:
-            return
-        later = [name for name in names if name > self._planner]
-        if self._planner in self._hub.dialled_urls:
-            decision("planner_lost", planner=self._planner, term=self._authority.term)
-            self._hub.hang_up(self._planner)
-        self._choose(later[0] if later else names[0])
-
     async def _send_report(self) -> None:
         await self._send(
             VmReport(
@@ -251,8 +257,12 @@
         )
 
     async def _send(self, message: Message) -> None:
+        """Send to the planner, or to all entries while it is not known."""
         if self._planner:
             await self._hub.send(self._planner, message)
+            return
+        for name in self._entries:
+            self._spawn(self._hub.send(name, message))
 
     # Entries
 
@@ -282,11 +292,11 @@
         if not url:
             self._entries.pop(name, None)
             return
+        known = self._entries.get(name)
         self._entries[name] = url
-        if name in self._hub.dialled_urls:
+        if name in self._hub.dialled_urls or not self._planner:
             self._hub.dial(name, url)
-        if not self._planner:
-            self._choose(name)
+        if known != url and not self._planner:
             self._news.set()
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
--- a/src/hyssoprill/state/ledger.py
+++ b/src/hyssoprill/state/ledger.py
@@ -41,8 +41,14 @@
         Number of the newest run, 0 before the first.
     failures : int
         Runs that ended as failed.
+    saved : str
+        Progress from which the newest run was, or the next will be, started.
     failed_run : int
         The newest run that was counted as failed.
+    began_ms : int
+        When the newest run was decided, in milliseconds since 1970.
+    progress : str
+        Newest progress that the open run has saved, where later than `saved`.
     """
 
     phase: int = WAITING
@@ -51,6 +57,8 @@
     failures: int = 0
     saved: str = ""
     failed_run: int = 0
+    began_ms: int = 0
+    progress: str = ""
 
 
 class StepState(Struct, frozen=True, array_like=True):
--- a/src/hyssoprill/transport/metrics.py
+++ b/src/hyssoprill/transport/metrics.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-from aioprometheus import REGISTRY, Counter, Gauge, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from loguru import logger
 
 _PREFIX = "hyssoprill_"
+LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
 
 
 class Metrics:
-    """Named counters and gauges with the process's role and name as labels."""
+    """Named counters, gauges and histograms, labelled with role and name."""
 
     def __init__(self, role: str, name: str) -> None:
-        REGISTRY.clear()
+        self._registry = Registry()
+        self._histograms: dict[str, Histogram] = {}
         self._labels = {"role": role, "name": name}
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
@@ -36,10 +38,24 @@
         """Set a gauge."""
         metric = self._gauges.get(name)
         if metric is None:
-            metric = Gauge(_PREFIX + name, name.replace("_", " "))
+            text = name.replace("_", " ")
+            metric = Gauge(_PREFIX + name, text, registry=self._registry)
             self._gauges[name] = metric
         metric.set(self._labels, value)
 
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Add a duration to a histogram."""
+        metric = self._histograms.get(name)
+        if metric is None:
+            metric = Histogram(
+                f"{_PREFIX}{name}_seconds",
+                name.replace("_", " "),
+                buckets=LATENCY_BUCKETS_S,
+                registry=self._registry,
+            )
+            self._histograms[name] = metric
+        metric.observe({**self._labels, **labels}, seconds)
+
     def busy(self, seconds: float) -> None:
         """Add time spent in message handlers."""
         self.busy_s += seconds
@@ -47,12 +63,14 @@
     def text(self) -> bytes:
         """Return the Prometheus text exposition."""
         self.gauge("handler_busy_seconds", self.busy_s)
-        return render(REGISTRY, ["text/plain"])[0]
+        return render(self._registry, ["text/plain"])[0]
 
     def _add(self, name: str, amount: int) -> None:
         metric = self._counters.get(name)
         if metric is None:
-            metric = Counter(_PREFIX + name + "_total", name.replace("_", " "))
+            text = name.replace("_", " ")
+            full_name = f"{_PREFIX}{name}_total"
+            metric = Counter(full_name, text, registry=self._registry)
             self._counters[name] = metric
         metric.add(self._labels, amount)
         self.totals[name] = self.totals.get(name, 0) + amount
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -259,6 +259,46 @@
     play(scenario)
 
 
+def test_progress_survives_planner_and_upstream_together(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME, Step(need=ONE, checkpoints=True))
+        await world.until(entry.ordered_runs)
+        vm.running = [RunRow(f"{NAME}.0.0.0", 1, "half", 50)]
+        vm.report()
+        step = f"step/{NAME}.0.0"
+        await world.until(
+            lambda: b"half" in world.store.topic("jobs").newest[step].value
+        )
+        orders = entry.orders("vm-1")[vm.key].runs
+        assert [run.saved for run in orders] == [""]
+        await entry.stop()
+        second = world.entry("entry-2")
+        await world.until(lambda: second.keeper.term)
+        reborn = make_vm(second, "vm-1")
+        reborn.key = vm.key.replace("|100|", "|200|")
+        reborn.report()
+        await world.until(lambda: second.ordered_runs("vm-1"))
+        assert second.orders("vm-1")[reborn.key].runs[0].saved == "half"
+
+    play(scenario)
+
+
+def test_new_planner_knows_for_how_long_runs_have_run(play, make_vm):
+    async def scenario(world):
+        entry, (vm,) = await planning(world, make_vm, "vm-1")
+        await world.submit(NAME, Step(need=WHOLE, estimate_ms=9000))
+        await world.until(entry.ordered_runs)
+        await entry.stop()
+        began_ms = entry.replica.ledger.jobs[NAME].steps[0, 0].tasks[0].began_ms
+        second = world.entry("entry-2")
+        await world.until(lambda: second.keeper.term)
+        task = second.replica.ledger.jobs[NAME].steps[0, 0].tasks[0]
+        assert task.began_ms == began_ms > 0
+
+    play(scenario)
+
+
 def test_lapsed_run_resumes_from_its_newest_progress(play, make_vm, monkeypatch):
     monkeypatch.setattr(fleet, "LAPSE_AFTER_S", 0.5)
 
--- /dev/null
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -0,0 +1,290 @@
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from standins.job_store import MemoryStore
+
+from hyssoprill.coordination.upstream.vm_agent import VmAgent
+from hyssoprill.ports.store import Record
+from hyssoprill.ports.upstream import CheckIn, Listing, StartAnswer
+from hyssoprill.protocol.job import Amounts
+from hyssoprill.protocol.upstream_messages import (
+    Grant,
+    Referral,
+    RunOrder,
+    RunRow,
+    UpstreamOrders,
+    VmOrders,
+    VmReport,
+)
+from hyssoprill.tasks import cancel_all
+from hyssoprill.transport.frame import FrameCodec
+from hyssoprill.transport.link import LinkHub
+from hyssoprill.transport.metrics import Metrics
+
+KEY = "5f" * 32
+TASK = "00000000000000a1.0.0.0"
+
+
+class FakeUpstream:
+    """Port that keeps what was called and answers as told."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[Any, ...]] = []
+        self.running: dict[tuple[str, int], str] = {}
+        self.refusal = ""
+        self.leases: list[int | None] = []
+        self.clock_ms = 1_000_000
+
+    async def start(self, order, *, term, lease_until_ms, timeout_s):
+        self.calls.append(("start", order.task, order.run, term))
+        if self.refusal:
+            return StartAnswer(False, self.refusal)
+        self.running[order.task, order.run] = order.payload
+        return StartAnswer(True, "")
+
+    async def stop(self, task, run, *, term, timeout_s):
+        self.calls.append(("stop", task, run, term))
+        self.running.pop((task, run), None)
+        return True
+
+    async def hold(self, *, term, acked_upto, lease_until_ms, wait_s, timeout_s):
+        self.leases.append(lease_until_ms)
+        await asyncio.sleep(min(wait_s, 0.05))
+        rows = tuple(RunRow(task, run, "", 0) for task, run in self.running)
+        return Listing(self.clock_ms, rows, ())
+
+    def close(self) -> None:
+        pass
+
+
+class FakeEntry:
+    """An entry that answers reports as the planner of a term."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.reports: list[VmReport] = []
+        self.term = 1
+        self.plans = True
+        self.referral: Referral | None = None
+        self.hub = LinkHub(
+            FrameCodec(KEY, name, "1"), self._receive, Metrics("e", name)
+        )
+        self.url = self.hub.listen("127.0.0.1", 0)
+
+    async def _receive(self, envelope) -> None:
+        if isinstance(envelope.body, VmReport):
+            self.reports.append(envelope.body)
+        if self.plans:
+            number = self.reports[-1].number if self.reports else 0
+            grant = Grant(self.term, envelope.body.tick_s, number)
+            await self.hub.send(envelope.sender, grant)
+        elif self.referral is not None:
+            await self.hub.send(envelope.sender, self.referral)
+
+    async def order(self, number: int, *runs: RunOrder, stopping=()) -> None:
+        report = self.reports[-1]
+        orders = UpstreamOrders(report.upstreams[0].key, list(runs), list(stopping), 0)
+        await self.hub.send(
+            "vm-1", VmOrders(self.term, number, report.tick_s, [orders])
+        )
+
+
+class AgentWorld:
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.upstream = FakeUpstream()
+        self.entries: list[FakeEntry] = []
+
+    async def entry(self, name: str) -> FakeEntry:
+        entry = FakeEntry(name)
+        self.entries.append(entry)
+        await self.store.append("members", [Record(name, entry.url.encode())])
+        return entry
+
+    async def until(self, condition, timeout_s: float = 5.0):
+        async with asyncio.timeout(timeout_s):
+            while not (value := condition()):
+                await asyncio.sleep(0.01)
+        return value
+
+    def started(self) -> list[tuple[str, int]]:
+        return [one[1:3] for one in self.upstream.calls if one[0] == "start"]
+
+
+def check_in(**fields: Any) -> CheckIn:
+    fields = {
+        "id": "i-1",
+        "born_ms": 100,
+        "number": 1,
+        "address": "127.0.0.1:1",
+        "group": "g",
+        "zone": "z",
+        "draining": False,
+        "capacity": Amounts(8, 8000, 8000),
+        **fields,
+    }
+    return CheckIn(**fields)
+
+
+def play(scenario) -> None:
+    async def body() -> None:
+        world = AgentWorld()
+        agent = VmAgent(
+            "vm-1",
+            KEY,
+            world.store,
+            lambda _check_in: world.upstream,
+            Metrics("agent", "vm-1"),
+            max_lease_s=6.0,
+        )
+        async with agent:
+            try:
+                await scenario(world, agent)
+            finally:
+                for entry in world.entries:
+                    await cancel_all(entry.hub._tasks)
+                    await entry.hub.__aexit__()
+
+    asyncio.run(body())
+
+
+async def ready(world, agent) -> FakeEntry:
+    entry = await world.entry("entry-1")
+    assert agent.checked_in(check_in())
+    await world.until(lambda: entry.reports and entry.reports[-1].upstreams)
+    await world.until(lambda: entry.reports[-1].upstreams[0].accepting)
+    return entry
+
+
+def test_ordered_run_is_started_under_the_term():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await world.until(lambda: ("start", TASK, 1, 1) in world.upstream.calls)
+
+    play(scenario)
+
+
+def test_older_orders_and_terms_are_ignored():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        entry.term = 2
+        await entry.order(5, RunOrder(TASK, 1, "x", ""))
+        await world.until(world.started)
+        entry.term = 1
+        await entry.order(9)
+        await asyncio.sleep(0.3)
+        assert (TASK, 1) in world.upstream.running
+
+    play(scenario)
+
+
+def test_run_that_is_no_longer_ordered_is_stopped():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await world.until(lambda: world.upstream.running)
+        await entry.order(2)
+        await world.until(lambda: not world.upstream.running)
+
+    play(scenario)
+
+
+def test_run_that_never_started_is_reported_closed_after_its_stop():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        await entry.order(1, stopping=[(TASK, 1)])
+        await world.until(lambda: (TASK, 1) in entry.reports[-1].upstreams[0].closed)
+        assert ("stop", TASK, 1, 1) in world.upstream.calls
+
+    play(scenario)
+
+
+def test_draining_upstream_refuses_a_start_that_comes_late():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        agent.checked_in(check_in(number=2, draining=True))
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await world.until(lambda: entry.reports[-1].upstreams[0].refused)
+        assert world.started() == []
+
+    play(scenario)
+
+
+def test_nothing_starts_without_a_word_from_the_planner():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        entry.plans = False
+        await asyncio.sleep(0.3)
+        agent._authority.tick_s -= 100.0
+        report = entry.reports[-1]
+        orders = UpstreamOrders(
+            report.upstreams[0].key, [RunOrder(TASK, 1, "x", "")], [], 0
+        )
+        await entry.hub.send("vm-1", VmOrders(1, 1, report.tick_s - 100.0, [orders]))
+        await asyncio.sleep(0.5)
+        assert world.started() == []
+
+    play(scenario)
+
+
+def test_lease_is_not_extended_long_after_the_planner_was_heard():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        await world.until(lambda: any(world.upstream.leases))
+        entry.plans = False
+        await asyncio.sleep(0.3)
+        agent._authority.tick_s -= 100.0
+        await asyncio.sleep(0.3)
+        world.upstream.leases.clear()
+        await asyncio.sleep(0.3)
+        assert world.upstream.leases
+        assert not any(world.upstream.leases)
+
+    play(scenario)
+
+
+def test_agent_finds_the_planner_beside_dead_entries_at_once():
+    async def scenario(world, agent):
+        for name in ("entry-0", "entry-2"):
+            await world.store.append("members", [Record(name, b"tcp://127.0.0.1:9")])
+        entry = await ready(world, agent)
+        assert entry.reports
+
+    play(scenario)
+
+
+def test_agent_follows_a_referral_to_the_planner():
+    async def scenario(world, agent):
+        planner = FakeEntry("entry-9")
+        world.entries.append(planner)
+        other = await world.entry("entry-1")
+        other.plans = False
+        other.referral = Referral(3, "entry-9", planner.url)
+        agent.checked_in(check_in())
+        await world.until(lambda: planner.reports)
+
+    play(scenario)
+
+
+def test_check_in_of_an_earlier_lifetime_is_refused():
+    async def scenario(world, agent):
+        await ready(world, agent)
+        assert agent.checked_in(check_in(id="i-2", born_ms=200))
+        assert not agent.checked_in(check_in(id="i-1", born_ms=100, number=9))
+        await asyncio.sleep(0)
+
+    play(scenario)
+
+
+def test_later_lifetime_at_the_same_address_ends_the_earlier():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        first = entry.reports[-1].upstreams[0].key
+        assert agent.checked_in(check_in(born_ms=200))
+        await world.until(lambda: first in entry.reports[-1].gone)
+        assert [one.key for one in entry.reports[-1].upstreams] != [first]
+
+    play(scenario)
