Keep jobs off upstreams where they failed; count failures in a row by run

Change: a job does not go back where it failed while another upstream could ever run it, its last attempt spares suspected ones; failures count by run since the last success; stalls are told by the task's own pace (1.5 to 3 s instead of 5 s).

--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -180,6 +180,7 @@
         if boottime_s() - self._dropped_s < DROP_INTERVAL_S:
             return
         self._dropped_s = boottime_s()
+        self._suspicion.keep_only(set(self._replica.ledger.active))
         records = expired_records(self._replica.ledger, self._state_kept_s)
         if records:
             await self._keeper.append(records)
@@ -251,7 +252,7 @@
         if how == "done":
             self._suspicion.succeeded(upstream)
         elif how == "failed" or how.startswith("refused"):
-            self._suspicion.failed(upstream, job.id, boottime_s())
+            self._suspicion.failed(upstream, job.id, run.run, boottime_s())
         decision(
             "run_ended",
             task=task,
@@ -310,7 +311,9 @@
                     if reason and name not in self._stopping:
                         if reason == "no progress":
                             upstream = state.tasks[index].upstream
-                            self._suspicion.failed(upstream, entry.job.id, boottime_s())
+                            self._suspicion.failed(
+                                upstream, entry.job.id, name[1], boottime_s()
+                            )
                         self._stop(*name, reason)
 
     def _stop(self, task: str, run: int, why: str) -> None:
--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -108,6 +108,7 @@
                         _slack_s(entry, occurrence, now_ms),
                         within_guarantee=entry.job.id in claims,
                         avoid=self.suspicion.failed_on(entry.job.id),
+                        is_last=_is_last_attempt(entry, state, indices),
                     )
                 )
         return found
@@ -210,6 +211,11 @@
     return placed
 
 
+def _is_last_attempt(entry: JobEntry, state: StepState, indices: list[int]) -> bool:
+    most = max(state.tasks[index].failures for index in indices)
+    return most > 0 and most + 1 >= entry.job.max_attempts
+
+
 def _slack_s(entry: JobEntry, occurrence: int, now_ms: int) -> float:
     """Return how long the rest of a job may still wait and meet its objective."""
     job = entry.job
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -72,7 +72,7 @@
 
 def _eligible(step: WaitingStep, upstreams: list[UpstreamView]) -> list[UpstreamView]:
     """Return where a step may run, for a while only beside its data."""
-    candidates = usable(step, upstreams)
+    candidates = _trusted(step, usable(step, upstreams))
     rack = step.step.data_rack
     if rack and _is_patient(step) and not step.within_guarantee:
         near = [one for one in candidates if one.rack == rack]
@@ -80,6 +80,22 @@
     return candidates
 
 
+def _trusted(step: WaitingStep, candidates: list[UpstreamView]) -> list[UpstreamView]:
+    """Leave out upstreams where the job failed, or any has before its last attempt.
+
+    An upstream that fails all it starts always has room: a job that may go back there
+    uses up its attempts within a second.
+    """
+    for is_trusted in (
+        lambda one: one.key not in step.avoid and not (step.is_last and one.penalty),
+        lambda one: one.key not in step.avoid,
+    ):
+        trusted = [one for one in candidates if is_trusted(one)]
+        if any(one.capacity.covers(step.step.need) for one in trusted):
+            return trusted
+    return candidates
+
+
 def _start_now(step: WaitingStep, candidates: list[UpstreamView], plan: Plan) -> bool:
     """Start what fits; return whether nothing of the step is left waiting."""
     if step.step.gang:
--- a/src/hyssoprill/coordination/policy/dispatch/view.py
+++ b/src/hyssoprill/coordination/policy/dispatch/view.py
@@ -85,7 +85,9 @@
     within_guarantee : bool
         Whether its workspace's guarantee covers it.
     avoid : frozenset of str
-        Upstreams where its tasks failed lately.
+        Upstreams where its tasks failed.
+    is_last : bool
+        Whether one more failure fails the job.
     """
 
     key: StepKey
@@ -97,6 +99,7 @@
     slack_s: float
     within_guarantee: bool = False
     avoid: frozenset[str] = frozenset()
+    is_last: bool = False
 
     @property
     def work(self) -> float:
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -30,8 +30,11 @@
 MIN_LEASE_S = 0.3
 REPORTED_PERCENT = 10
 """Progress is reported again when it has grown by so much."""
-MIN_STALL_S = 5.0
+MAX_STALL_S = 3.0
 """A task whose progress stands still for this long is reported as stalled."""
+MIN_STALL_S = 1.5
+STALL_FACTOR = 12
+"""So many times as long as it took for one percent so far, between these bounds."""
 
 
 class UpstreamSession:
@@ -78,6 +81,8 @@
         self._listing: Listing | None = None
         self._reported: tuple[RunRow, ...] = ()
         self._progress: dict[RunKey, tuple[int, float]] = {}
+        self._paces: dict[RunKey, float] = {}
+        self._has_stalled = False
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
         self._lease_ends_s = 0.0
@@ -327,16 +332,26 @@
             known = self._progress.get(key)
             if known is not None and known[0] == row.percent:
                 kept[key] = known
-                waited_s = now_s - known[1]
-                newly |= MIN_STALL_S <= waited_s < MIN_STALL_S + 2 * HOLD_WAIT_S
+                newly |= self._is_stalled(key, now_s)
             else:
                 kept[key] = (row.percent, now_s)
+                if known is not None:
+                    pace = (now_s - known[1]) / max(row.percent - known[0], 1)
+                    self._paces[key] = max(self._paces.get(key, 0.0), pace)
         self._progress = kept
+        self._paces = {key: one for key, one in self._paces.items() if key in kept}
+        newly &= not self._has_stalled
+        self._has_stalled = any(self._is_stalled(key, now_s) for key in kept)
         return newly
 
     def _is_stalled(self, key: RunKey, now_s: float) -> bool:
         known = self._progress.get(key)
-        return known is not None and now_s - known[1] >= MIN_STALL_S
+        if known is None:
+            return False
+        pace = self._paces.get(key)
+        limit_s = MAX_STALL_S if pace is None else STALL_FACTOR * pace
+        limit_s = min(max(limit_s, MIN_STALL_S), MAX_STALL_S)
+        return now_s - known[1] >= limit_s
 
     def _lost(self, why: str) -> None:
         decision("upstream_gone", upstream=str(self.key), why=why)
--- /dev/null
+++ b/tests/coordination/planner/test_suspicion.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+from hyssoprill.coordination.planner.suspicion import (
+    EXCLUDE_MARKS,
+    SPARE_S,
+    Suspicion,
+)
+
+
+def test_failures_of_one_job_on_one_upstream_exclude_it():
+    suspicion = Suspicion()
+    for run in range(EXCLUDE_MARKS):
+        suspicion.failed("grey", "job", run, 1.0)
+    assert suspicion.marks("grey", 1.0) >= EXCLUDE_MARKS
+
+
+def test_job_that_fails_everywhere_speaks_against_no_upstream():
+    suspicion = Suspicion()
+    suspicion.failed("a", "poison", 1, 1.0)
+    suspicion.failed("a", "poison", 2, 1.0)
+    suspicion.failed("b", "poison", 3, 1.5)
+    assert suspicion.marks("a", 2.0) == suspicion.marks("b", 2.0) == 0
+
+
+def test_tasks_that_fail_together_count_once():
+    suspicion = Suspicion()
+    for _ in range(3):
+        suspicion.failed("a", "gang", 1, 1.0)
+    assert suspicion.marks("a", 1.0) == 1
+
+
+def test_success_clears_an_upstream():
+    suspicion = Suspicion()
+    suspicion.failed("a", "job", 1, 1.0)
+    suspicion.succeeded("a")
+    assert suspicion.marks("a", 1.0) == 0
+
+
+def test_failures_count_for_a_while_only():
+    suspicion = Suspicion()
+    suspicion.failed("a", "job", 1, 1.0)
+    assert suspicion.marks("a", 1.1) == 1
+    assert suspicion.marks("a", 1.1 + SPARE_S) == 0
+
+
+def test_jobs_that_are_over_are_forgotten():
+    suspicion = Suspicion()
+    suspicion.failed("a", "job", 1, 1.0)
+    suspicion.keep_only(set())
+    assert suspicion.failed_on("job") == frozenset()
--- a/tests/coordination/policy/dispatch/test_dispatch.py
+++ b/tests/coordination/policy/dispatch/test_dispatch.py
@@ -184,3 +184,26 @@
     plan = plan_round(steps, world.upstreams, [])
     placed = {start.step.job_id: start.upstream for start in plan.starts}
     assert placed == {"d": "dear", "s": "saving"}
+
+
+def test_job_waits_rather_than_going_back_where_it_failed(world):
+    world.upstream("grey")
+    world.upstream("full", free=NOTHING)
+    step = world.step(need=WHOLE)
+    step.avoid = frozenset({"grey"})
+    assert plan_round([step], world.upstreams, []).starts == []
+
+
+def test_job_goes_back_where_nothing_else_could_ever_run_it(world):
+    world.upstream("only")
+    step = world.step(need=WHOLE)
+    step.avoid = frozenset({"only"})
+    assert len(plan_round([step], world.upstreams, []).starts) == 1
+
+
+def test_last_attempt_spares_suspected_upstreams(world):
+    world.upstream("suspected", penalty=1)
+    world.upstream("full", free=NOTHING)
+    step = world.step(need=WHOLE)
+    step.is_last = True
+    assert plan_round([step], world.upstreams, []).starts == []
