--- a/src/hyssoprill/cli/main.py
+++ b/src/hyssoprill/cli/main.py
@@ -12,6 +12,7 @@
 from .bundle import bundle
 from .client import Client, pass_client
 from .output import show_json, show_rows
+from .trace import trace
 
 EXIT_USAGE = 2
 EXIT_ERROR = 1
@@ -123,6 +124,7 @@
 
 
 main.add_command(bundle)
+main.add_command(trace)
 
 if __name__ == "__main__":
     main()
--- a/src/hyssoprill/coordination/intake/entry.py
+++ b/src/hyssoprill/coordination/intake/entry.py
@@ -76,6 +76,10 @@
         self.intake = Intake(store, self.replica)
         self._planner: Planner | None = None
         self._sends: dict[str, asyncio.Queue[Message]] = {}
+        metrics.watch("config_age_seconds", lambda: self.directory.age_s)
+        metrics.watch("jobs_age_seconds", lambda: self.replica.age_s)
+        metrics.watch("jobs_active", lambda: len(self.replica.ledger.active))
+        metrics.watch("term", lambda: self.keeper.term)
         self._stack = AsyncExitStack()
         self._tasks: set[asyncio.Task[Any]] = set()
 
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -86,6 +86,8 @@
         self._number = 1
         self._orders = (0, 0)
         self._news = asyncio.Event()
+        metrics.watch("upstreams", lambda: len(self._sessions))
+        metrics.watch("lease_left_seconds", lambda: self._authority.lease_left_s)
         self._stack = AsyncExitStack()
         self._tasks: set[asyncio.Task[Any]] = set()
 
--- a/src/hyssoprill/logs.py
+++ b/src/hyssoprill/logs.py
@@ -19,6 +19,8 @@
 from .clock import unix_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from .settings import LoggingSettings
 
 TEXT_FORMAT = "{time:HH:mm:ss.SSS} {level} {extra[process]} {message}"
@@ -34,11 +36,14 @@
         self.process = ""
         self.enabled = False
         self.dropped = 0
+        self.observe: Callable[[str, dict[str, Any]], None] | None = None
         self._window_s = 0.0
         self._written: Counter[str] = Counter()
 
     def write(self, event: str, fields: dict[str, Any]) -> None:
         """Write one line, or count it as dropped."""
+        if self.observe is not None:
+            self.observe(event, fields)
         if not self.enabled:
             return
         now_s = time.monotonic()
@@ -72,12 +77,23 @@
     _decisions.write(event, fields)
 
 
-def set_up_decisions(process: str) -> DecisionLog:
-    """Begin to write decision lines to standard output."""
+def set_up_decisions(
+    process: str, observe: Callable[[str, dict[str, Any]], None]
+) -> DecisionLog:
+    """Begin to write decision lines to standard output.
+
+    Parameters
+    ----------
+    process : str
+        Name of this process in each line.
+    observe : callable
+        Called with each decision, also where its line is dropped.
+    """
     with suppress(OSError):
         os.set_blocking(STDOUT_FD, False)
     _decisions.process = process
     _decisions.enabled = True
+    _decisions.observe = observe
     return _decisions
 
 
--- a/src/hyssoprill/transport/metrics.py
+++ b/src/hyssoprill/transport/metrics.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from loguru import logger
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
 _PREFIX = "hyssoprill_"
+DURATION_FIELDS = ("took_s", "waited_s", "ran_s")
+"""Fields of decisions that are durations."""
 LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
 
 
@@ -15,6 +22,11 @@
     def __init__(self, role: str, name: str) -> None:
         self._registry = Registry()
         self._histograms: dict[str, Histogram] = {}
+        self._watched: dict[str, Callable[[], float]] = {}
+        self._decisions = Counter(
+            f"{_PREFIX}decisions_total", "decisions by kind", registry=self._registry
+        )
+        self.role = role
         self._labels = {"role": role, "name": name}
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
@@ -56,6 +68,17 @@
             self._histograms[name] = metric
         metric.observe({**self._labels, **labels}, seconds)
 
+    def decided(self, event: str, fields: Mapping[str, Any]) -> None:
+        """Count a decision by its kind, and add its durations to histograms."""
+        self._decisions.add({**self._labels, "event": event}, 1)
+        for name in DURATION_FIELDS:
+            if name in fields:
+                self.observe(f"{event}_{name.removesuffix('_s')}", fields[name])
+
+    def watch(self, name: str, value: Callable[[], float]) -> None:
+        """Publish a gauge that is read at each scrape."""
+        self._watched[name] = value
+
     def busy(self, seconds: float) -> None:
         """Add time spent in message handlers."""
         self.busy_s += seconds
@@ -63,6 +86,8 @@
     def text(self) -> bytes:
         """Return the Prometheus text exposition."""
         self.gauge("handler_busy_seconds", self.busy_s)
+        for name, value in self._watched.items():
+            self.gauge(name, value())
         return render(self._registry, ["text/plain"])[0]
 
     def _add(self, name: str, amount: int) -> None:
