--- /dev/null
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -0,0 +1,117 @@
+"""Closes runs whose end is known, and keeps the progress of those that are open."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ...clock import boottime_s
+from ...logs import decision
+from ...state.ledger import OPEN
+from .runs import ran_s
+
+if TYPE_CHECKING:
+    from ...protocol.upstream_messages import UpstreamReport
+    from ...state.ledger import Ledger, OpenRun
+    from .changes import Changes
+    from .fleet import Fleet
+    from .runs import StopNotes
+    from .suspicion import Suspicion
+
+PROGRESS_INTERVAL_S = 1.0
+"""Saved progress is stored this often: a process and its upstream may end together."""
+
+
+@dataclass(slots=True)
+class RunCloser:
+    """Turns what upstreams report into changes of the ledger."""
+
+    ledger: Ledger
+    fleet: Fleet
+    stopping: StopNotes
+    suspicion: Suspicion
+    _progress_s: float = field(default_factory=boottime_s)
+
+    def close_listed(self, changes: Changes) -> dict[str, int]:
+        """Close runs that their upstreams list as ended or as never to start.
+
+        Returns
+        -------
+        dict
+            For each upstream the highest number of the ends that it listed.
+        """
+        acked = {}
+        for report in self.fleet.reports():
+            self._close_of(report, changes)
+            numbers = [row.number for row in report.ended]
+            if numbers:
+                acked[report.key] = max(numbers)
+        return acked
+
+    def close_over(self, changes: Changes) -> None:
+        """Close runs on lifetimes that have surely ended."""
+        for key, runs in self.ledger.open_runs.items():
+            why = self.fleet.why_over(key) if runs else ""
+            if why:
+                for task, run in runs.items():
+                    saved = self.fleet.saved(key, task, run.run)
+                    self._close(changes, key, task, run, why, saved)
+
+    def note_progress(self, changes: Changes) -> None:
+        """Keep from time to time what open runs have saved."""
+        if boottime_s() - self._progress_s < PROGRESS_INTERVAL_S:
+            return
+        self._progress_s = boottime_s()
+        for report in self.fleet.reports():
+            open_runs = self.ledger.open_runs.get(report.key, {})
+            for row in report.running:
+                run = open_runs.get(row.task)
+                if run is None or run.run != row.run or not row.saved:
+                    continue
+                task = changes.task(run.step, run.index)
+                known = task.progress or task.saved
+                if task.phase == OPEN and known != row.saved:
+                    changes.note_progress(run.step, run.index, row.saved)
+
+    def _close_of(self, report: UpstreamReport, changes: Changes) -> None:
+        open_runs = self.ledger.open_runs.get(report.key, {})
+        ends = [(row.task, row.run, row.how, row.saved) for row in report.ended]
+        ends += [(task, run, "closed", "") for task, run in report.closed]
+        ends += [
+            (task, run, f"refused: {why}", "") for task, run, why in report.refused
+        ]
+        for task, number, how, saved in ends:
+            run = open_runs.get(task)
+            if run is not None and run.run == number:
+                self._close(changes, report.key, task, run, how, saved)
+
+    def _close(
+        self,
+        changes: Changes,
+        upstream: str,
+        task: str,
+        run: OpenRun,
+        how: str,
+        saved: str,
+    ) -> None:
+        before = changes.task(run.step, run.index)
+        if before.phase != OPEN:
+            return
+        job = self.ledger.jobs[run.step.job_id].job
+        changes.end(run.step, run.index, how, saved, max_attempts=job.max_attempts)
+        if how == "done":
+            self.suspicion.succeeded(upstream)
+        elif how == "failed" or how.startswith("refused"):
+            self.suspicion.failed(upstream, job.id, run.run, boottime_s())
+        decision(
+            "run_ended",
+            task=task,
+            run=run.run,
+            how=how,
+            upstream=upstream,
+            ran_s=round(ran_s(before), 2),
+            why=self.stopping.reason((task, run.run)),
+        )
+
+
+__all__ = ["RunCloser"]
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -10,6 +10,8 @@
 from ..upstream.authority import LAPSE_AFTER_S
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from ...protocol.upstream_messages import RunRow, UpstreamReport, VmReport
 
 SETTLE_S = 0.4
@@ -39,7 +41,6 @@
     granted_s: float = float("-inf")
     upstreams: dict[str, UpstreamReport] = field(default_factory=dict)
     gone: frozenset[str] = frozenset()
-    orders_applied: tuple[int, int] = (0, 0)
 
 
 class Fleet:
@@ -68,7 +69,6 @@
         vm = self.heard(report.vm, report.tick_s)
         self._first_report_s = min(self._first_report_s, boottime_s())
         vm.number = report.number
-        vm.orders_applied = (report.term, report.orders)
         for key, old in vm.upstreams.items():
             self._held_s[old.key] = boottime_s()
             self._held_s[key] = boottime_s()
@@ -88,6 +88,11 @@
         vm = self.vms.get(name)
         return vm is not None and boottime_s() - vm.heard_s < FRESH_S
 
+    def reports(self) -> Iterator[UpstreamReport]:
+        """Yield the newest reports of all upstreams."""
+        for vm in self.vms.values():
+            yield from vm.upstreams.values()
+
     def find(self, key: str) -> UpstreamReport | None:
         """Return the report of a lifetime that is present."""
         vm = self.vms.get(key.partition("|")[0])
--- a/src/hyssoprill/coordination/planner/runs.py
+++ b/src/hyssoprill/coordination/planner/runs.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ...clock import unix_ms
+from ...logs import decision
 
 if TYPE_CHECKING:
     from ...state.ledger import OpenRun, TaskState
@@ -25,8 +26,10 @@
         return key in self._reasons
 
     def add(self, key: RunKey, why: str) -> None:
-        """Note that a run is to stop."""
-        self._reasons[key] = why
+        """Note that a run is to stop, where it was not noted before."""
+        if key not in self._reasons:
+            decision("run_to_stop", task=key[0], run=key[1], why=why)
+            self._reasons[key] = why
 
     def reason(self, key: RunKey) -> str:
         """Return why a run is to stop, or ''."""
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -25,6 +25,8 @@
 """A step takes lower priorities' room when it has less than this left to wait."""
 RECLAIM_MARGIN_S = 1.1
 """Of the time to reclaim what is guaranteed, for the stops and the starts."""
+MAX_LOSS_SHARE = 0.5
+"""Beyond its guarantee, a step may cost others this part of its own work."""
 END_FACTOR = 1.3
 """Runs may take this much longer than they were expected to."""
 
@@ -133,13 +135,14 @@
 
     What is guaranteed is taken from anybody. Beyond that, only from lower priorities:
     an urgent job stops work that saves its progress; others when they are about to
-    miss their objective, and where no more work is lost than they have to do.
+    miss their objective, and where less work is lost than half of their own.
     """
     if step.within_guarantee:
         return _reclaim(step, candidates, units, reclaim_s)
     lower = [unit for unit in units if unit.priority > step.job.priority]
     if 0 <= step.slack_s < PREEMPT_SLACK_S:
-        return make_room(step, candidates, lower, max_cost=step.work)
+        max_cost = step.work * MAX_LOSS_SHARE
+        return make_room(step, candidates, lower, max_cost=max_cost)
     if step.job.priority == 0 and step.slack_s >= 0:
         saving = [unit for unit in lower if unit.cost <= 0]
         return make_room(step, candidates, saving)
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -119,7 +119,11 @@
             list(listing.ended) if listing is not None else [],
             sorted(self._closed),
             [(task, run, why) for (task, run), why in sorted(self._refused.items())],
-            [key for key in map(_run_key, running) if self._is_stalled(key, now_s)],
+            [
+                (*key, self._progress[key][1])
+                for key in map(_run_key, running)
+                if self._is_stalled(key, now_s)
+            ],
             check_in.remaining_ms,
             check_in.draining,
         )
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -43,7 +43,7 @@
     refused : list of tuple
         Runs that the upstream refused to start, with the reason.
     stalled : list of tuple
-        Runs that have made no progress for a while.
+        Runs that make no progress, and since when by the agent's clock.
     remaining_ms : int
         Least time that a draining upstream stays; -1 where not told.
     """
@@ -58,7 +58,7 @@
     ended: list[EndRow] = []
     closed: list[tuple[str, int]] = []
     refused: list[tuple[str, int, str]] = []
-    stalled: list[tuple[str, int]] = []
+    stalled: list[tuple[str, int, float]] = []
     remaining_ms: int = -1
     draining: bool = False
 
