--- a/src/hyssoprill/coordination/intake/entry.py
+++ b/src/hyssoprill/coordination/intake/entry.py
@@ -11,16 +11,24 @@
 from ...logs import decision
 from ...ports.store import Record
 from ...protocol.message import Message
-from ...protocol.upstream_messages import Referral, VmHeartbeat, VmReport
+from ...protocol.upstream_messages import (
+    Referral,
+    RelayAppend,
+    RelayResult,
+    VmHeartbeat,
+    VmReport,
+)
 from ...tasks import cancel_all
 from ...transport.frame import FrameCodec
 from ...transport.link import LinkHub
 from ..identity import new_incarnation
+from ..members import MemberFollower
 from ..planner.planner import Planner
 from ..planner.replica import Replica
 from ..planner.term import TermKeeper
 from .directory import DirectoryFollower
 from .intake import Intake
+from .relay import Relay
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -73,7 +81,7 @@
         self._bounds = bounds
         self.replica = Replica(store, self._changed)
         self.directory = DirectoryFollower(store, build, self._changed)
-        self.intake = Intake(store, self.replica)
+        self._members = MemberFollower(store, lambda _name: None)
         self._planner: Planner | None = None
         self._sends: dict[str, asyncio.Queue[Message]] = {}
         metrics.watch("config_age_seconds", lambda: self.directory.age_s)
@@ -87,6 +95,10 @@
         self._hub = await self._stack.enter_async_context(
             LinkHub(self._codec, self._receive, self.metrics)
         )
+        self._relay = Relay(
+            self.name, self._hub, self._members, self._store, self.replica
+        )
+        self.intake = Intake(self._store, self.replica, self._relay)
         self.link_url = self._hub.listen(self._address, self._link_port)
         self.keeper = TermKeeper(
             self.name, self._incarnation, self.link_url, self._store, self.replica
@@ -106,6 +118,7 @@
             self.keeper.hold(),
             self._planner.run(),
             self._announce(),
+            self._members.run(),
         ):
             self._spawn(work)
         return self
@@ -163,6 +176,17 @@
         else:
             self._refer(sender)
 
+    @_handle.register
+    async def _(self, message: RelayAppend, sender: str) -> None:
+        self._spawn(self._append_for(message, sender))
+
+    @_handle.register
+    async def _(self, message: RelayResult, _sender: str) -> None:
+        self._relay.answered(message)
+
+    async def _append_for(self, message: RelayAppend, sender: str) -> None:
+        self._send(sender, await self._relay.append_for(message))
+
     def _refer(self, sender: str) -> None:
         term = self.replica.ledger.term
         if term is not None:
--- a/src/hyssoprill/coordination/intake/intake.py
+++ b/src/hyssoprill/coordination/intake/intake.py
@@ -18,6 +18,7 @@
     from ...protocol.job import Job, Step
     from ...state.ledger import JobEntry
     from ..planner.replica import Replica
+    from .relay import Relay
 
 MAX_BATCH = 100
 """Records of one append of accepted jobs."""
@@ -40,10 +41,13 @@
         Where jobs are stored before they are accepted.
     replica : Replica
         What is stored.
+    relay : Relay
+        Appends where the store is out of reach from here.
     """
 
-    def __init__(self, store: StorePort, replica: Replica) -> None:
+    def __init__(self, store: StorePort, replica: Replica, relay: Relay) -> None:
         self._store = store
+        self._relay = relay
         self._replica = replica
         self._waiting: list[tuple[Record, asyncio.Future[None]]] = []
         self._wake = asyncio.Event()
@@ -73,7 +77,6 @@
             decision("job_repeated", job=job.id, queue=job.queue)
             return
         began_s = boottime_s()
-        self._refuse_if_unreached(job.id)
         try:
             await self._put(Record(JOB_PREFIX + job.id, msgspec.json.encode(job)))
         except StoreInDoubtError:
@@ -137,16 +140,6 @@
         lost_for_s = round(self._replica.unreached_s)
         return min(max(lost_for_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
 
-    def _refuse_if_unreached(self, job_id: str) -> None:
-        """Refuse at once what could not be stored now, before anything is sent."""
-        lost_for_s = self._replica.unreached_s
-        if not lost_for_s:
-            return
-        why = f"the store has been out of reach for {lost_for_s:.1f} s"
-        if self._is_doubtful(job_id):
-            raise StoreInDoubtError(why, remedy="send the same id again")
-        raise StoreRefusedError(why, remedy="send the job again later")
-
     def _is_doubtful(self, job_id: str) -> bool:
         """Tell whether an append of a job had no answer lately."""
         now_s = boottime_s()
@@ -172,7 +165,7 @@
     async def _append(self, batch: list[tuple[Record, asyncio.Future[None]]]) -> None:
         records = [record for record, _fut in batch]
         try:
-            offset = await self._store.append("jobs", records)
+            offset = await self._append_somehow(records)
         except StoreError as exc:
             _fail(batch, exc)
             return
@@ -181,6 +174,23 @@
             if not fut.done():
                 fut.set_result(None)
 
+    async def _append_somehow(self, records: list[Record]) -> int:
+        """Append by this entry's own way, or by a peer's where that is cut."""
+        doubt: StoreInDoubtError | None = None
+        if not self._replica.unreached_s:
+            try:
+                return await self._store.append("jobs", records)
+            except StoreInDoubtError as exc:
+                doubt = exc
+            except StoreRefusedError as exc:
+                decision("append_refused", records=len(records), why=str(exc))
+        try:
+            return await self._relay.append(records)
+        except StoreRefusedError as exc:
+            if doubt is not None:
+                raise doubt from exc
+            raise
+
 
 def _describe(step: Step) -> dict[str, Any]:
     """Return what a log reader needs to know of a step."""
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Any, Self
 
 from ...clock import boottime_s
-from ...errors import StoreError
 from ...logs import decision
 from ...protocol.message import Message
 from ...protocol.upstream_key import UpstreamKey, parse_upstream_key
@@ -23,6 +22,7 @@
 from ...transport.frame import FrameCodec
 from ...transport.link import LinkHub
 from ..identity import new_incarnation
+from ..members import MemberFollower
 from .authority import Authority
 from .session import UpstreamSession
 
@@ -39,8 +39,6 @@
 HEARTBEAT_INTERVAL_S = 0.6
 PLANNER_SILENCE_S = 1.0
 """After this without an answer all entries are asked who plans."""
-MEMBERS_WAIT_S = 20.0
-MEMBERS_RETRY_S = 1.0
 
 
 class VmAgent:
@@ -73,13 +71,12 @@
         self.vm = vm
         self.metrics = metrics
         self._cluster_key = cluster_key
-        self._store = store
         self._open_port = open_port
         self._max_lease_s = max_lease_s
         self._authority = Authority()
         self._sessions: dict[UpstreamKey, UpstreamSession] = {}
         self._gone: list[UpstreamKey] = []
-        self._entries: dict[str, str] = {}
+        self._members = MemberFollower(store, self._entry_found)
         self._planner = ""
         self._planner_heard_s = boottime_s()
         self._searching = True
@@ -96,7 +93,7 @@
         self._hub = await self._stack.enter_async_context(
             LinkHub(codec, self._receive, self.metrics)
         )
-        for work in (self._follow_members(), self._report_loop()):
+        for work in (self._members.run(), self._report_loop()):
             self._spawn(work)
         return self
 
@@ -190,7 +187,7 @@
             return
         if message.term < self._authority.term:
             return
-        self._entries[message.planner] = message.link_url
+        self._members.learn(message.planner, message.link_url)
         self._choose(message.planner)
         await self._send_report()
 
@@ -210,7 +207,7 @@
         """Report to one entry from now on."""
         self._planner = name
         self._planner_heard_s = boottime_s()
-        self._hub.dial(name, self._entries[name])
+        self._hub.dial(name, self._members.urls[name])
 
     def _search(self) -> None:
         """Ask all entries who plans."""
@@ -218,7 +215,7 @@
             decision("planner_lost", planner=self._planner, term=self._authority.term)
         self._searching = True
         self._planner = ""
-        for name, url in self._entries.items():
+        for name, url in self._members.urls.items():
             self._hub.dial(name, url)
 
     async def _report_loop(self) -> None:
@@ -263,42 +260,15 @@
         if self._planner:
             await self._hub.send(self._planner, message)
             return
-        for name in self._entries:
+        for name in self._members.urls:
             self._spawn(self._hub.send(name, message))
 
     # Entries
 
-    async def _follow_members(self) -> None:
-        """Keep the list of entries up to date from the store."""
-        offset: int | None = None
-        while True:
-            try:
-                if offset is None:
-                    page = await self._store.newest("members")
-                else:
-                    page = await self._store.read(
-                        "members", offset, wait_s=MEMBERS_WAIT_S
-                    )
-            except StoreError as exc:
-                decision("members_unread", why=str(exc))
-                offset = None
-                await asyncio.sleep(MEMBERS_RETRY_S)
-                continue
-            offset = page.next
-            for record in page.records:
-                self._learn_entry(record.key, record.value.decode())
-            if not page.records:
-                await asyncio.sleep(0)
-
-    def _learn_entry(self, name: str, url: str) -> None:
-        if not url:
-            self._entries.pop(name, None)
-            return
-        known = self._entries.get(name)
-        self._entries[name] = url
+    def _entry_found(self, name: str) -> None:
         if name in self._hub.dialled_urls or not self._planner:
-            self._hub.dial(name, url)
-        if known != url and not self._planner:
+            self._hub.dial(name, self._members.urls[name])
+        if not self._planner:
             self._news.set()
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
--- a/src/hyssoprill/protocol/messages.py
+++ b/src/hyssoprill/protocol/messages.py
@@ -15,7 +15,15 @@
 from .outcome import Outcome
 from .request import JobSpec
 from .shape import Resources
-from .upstream_messages import Grant, Referral, VmHeartbeat, VmOrders, VmReport
+from .upstream_messages import (
+    Grant,
+    Referral,
+    RelayAppend,
+    RelayResult,
+    VmHeartbeat,
+    VmOrders,
+    VmReport,
+)
 
 
 class EntryAddress(Struct, frozen=True, array_like=True):
@@ -283,6 +291,8 @@
     | VmOrders
     | Grant
     | Referral
+    | RelayAppend
+    | RelayResult
 )
 
 
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -156,10 +156,27 @@
     link_url: str
 
 
+class RelayAppend(Message):
+    """Asks another entry to append records to the jobs, as key and value."""
+
+    token: str
+    records: list[tuple[str, bytes]]
+
+
+class RelayResult(Message):
+    """Says what became of the append: `stored`, `refused` or `in_doubt`."""
+
+    token: str
+    code: str
+    offset: int
+
+
 __all__ = [
     "EndRow",
     "Grant",
     "Referral",
+    "RelayAppend",
+    "RelayResult",
     "RunOrder",
     "RunRow",
     "UpstreamOrders",
--- a/tests/coordination/intake/test_intake.py
+++ b/tests/coordination/intake/test_intake.py
@@ -19,11 +19,27 @@
     return Job(name, "q", "g", "w", 1, 2, 3.0, 1000, 0, "x", (Step(),))
 
 
-def play(scenario) -> None:
+class Peer:
+    """A peer by whose way records are appended, or no peer at all."""
+
+    def __init__(self, store: MemoryStore | None = None) -> None:
+        self.store = store
+        self.appended = 0
+
+    async def append(self, records):
+        if self.store is None:
+            raise StoreRefusedError("no peer")
+        self.appended += len(records)
+        return await self.store.append("jobs", records)
+
+
+def play(scenario, peer: Peer | None = None) -> None:
+    peer = peer or Peer()
+
     async def body() -> None:
         store = MemoryStore()
         replica = Replica(store, lambda: None)
-        intake = Intake(store, replica)
+        intake = Intake(store, replica, peer)
         tasks = [asyncio.ensure_future(one.run()) for one in (replica, intake)]
         await asyncio.sleep(0.05)
         try:
@@ -100,3 +116,26 @@
         assert store.writes == writes
 
     play(scenario)
+
+
+def test_job_is_stored_through_a_peer_while_the_store_turns_this_entry_away():
+    peer = Peer(MemoryStore())
+
+    async def scenario(store, replica, intake):
+        store.down = True
+        await intake.accept(job())
+        assert peer.appended == 1
+        assert replica.ledger.jobs[NAME]
+
+    play(scenario, peer)
+
+
+def test_job_in_doubt_is_settled_through_a_peer():
+    peer = Peer(MemoryStore())
+
+    async def scenario(store, replica, intake):
+        store.late_appends = []
+        await intake.accept(job())
+        assert peer.appended == 1
+
+    play(scenario, peer)
