Count calls in doubt into a silent VM's leases; wait after refused starts

Cause: a hold that had no answer may be carried out 12 s later, and a lease may count from then, so that a VM cut off meanwhile could still run what starts elsewhere after 9.9 s; a start that is refused again and again made a round each 10 ms.

--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -101,8 +101,10 @@
         changes.end(run.step, run.index, how, saved, max_attempts=job.max_attempts)
         if how == "done":
             self.suspicion.succeeded(upstream)
-        elif how == "failed" or how.startswith("refused"):
+        elif how == "failed":
             self.suspicion.failed(upstream, job.id, run.run, boottime_s())
+        elif how.startswith("refused"):
+            self.suspicion.refused(run.step, boottime_s())
         decision(
             "run_ended",
             task=task,
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -7,7 +7,7 @@
 
 from ...clock import boottime_s
 from ...protocol.upstream_key import parse_upstream_key
-from ..upstream.authority import LAPSE_AFTER_S
+from ..upstream.authority import CLOCK_RATE_ERROR, LAPSE_AFTER_S, LAPSE_MARGIN_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -31,6 +31,8 @@
         The agent's clock at its newest message.
     heard_s : float
         The planner's clock at that message.
+    reported_s : float
+        The planner's clock at the newest whole report.
     granted_s : float
         The planner's clock when it last let the agent extend leases.
     """
@@ -38,6 +40,7 @@
     number: int = 0
     tick_s: float = 0.0
     heard_s: float = float("-inf")
+    reported_s: float = float("-inf")
     granted_s: float = float("-inf")
     upstreams: dict[str, UpstreamReport] = field(default_factory=dict)
     gone: frozenset[str] = frozenset()
@@ -69,6 +72,7 @@
         vm = self.heard(report.vm, report.tick_s)
         self._first_report_s = min(self._first_report_s, boottime_s())
         vm.number = report.number
+        vm.reported_s = vm.heard_s
         for key, old in vm.upstreams.items():
             self._held_s[old.key] = boottime_s()
             self._held_s[key] = boottime_s()
@@ -124,12 +128,21 @@
                 return "gone"
             if any(parse_upstream_key(one).replaces(name) for one in vm.upstreams):
                 return "replaced"
-        last_s = self._held_s.get(key, self.began_s)
-        if vm is not None and key in vm.upstreams:
-            last_s = max(last_s, vm.granted_s)
-        if boottime_s() - last_s > LAPSE_AFTER_S:
+        if boottime_s() > self._lapses_s(key, vm):
             return "lapsed"
         return ""
 
+    def _lapses_s(self, key: str, vm: VmState | None) -> float:
+        """Return the planner's time from which no lease can be left on a lifetime."""
+        last_s = self._held_s.get(key, self.began_s)
+        report = vm.upstreams.get(key) if vm is not None else None
+        if vm is None or report is None:
+            return last_s + LAPSE_AFTER_S
+        lapses_s = max(last_s, vm.granted_s) + LAPSE_AFTER_S
+        if report.doubt_s:
+            doubt_s = report.doubt_s * (1 + CLOCK_RATE_ERROR) + LAPSE_MARGIN_S
+            lapses_s = max(lapses_s, vm.reported_s + doubt_s)
+        return lapses_s
+
 
 __all__ = ["Fleet", "VmState"]
--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -96,6 +96,8 @@
                 if not indices:
                     self.waiting_since_s.pop(key, None)
                     continue
+                if self.suspicion.has_to_wait(key, now_s):
+                    continue
                 since_s = self.waiting_since_s.setdefault(key, now_s)
                 found.append(
                     WaitingStep(
--- a/src/hyssoprill/coordination/planner/suspicion.py
+++ b/src/hyssoprill/coordination/planner/suspicion.py
@@ -8,9 +8,16 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ...state.ledger import StepKey
 
 SPARE_S = 6.0
 """How long a failure counts against an upstream."""
+REFUSAL_DELAY_S = 0.1
+"""After a refused start a step waits so long, doubled with each further one."""
+MAX_REFUSAL_DELAY_S = 3.0
 EXCLUDE_MARKS = 2
 """With so many failures in a row within `SPARE_S`, it gets no starts at all."""
 
@@ -21,6 +28,7 @@
     def __init__(self) -> None:
         self._failures: dict[str, dict[str, dict[int, float]]] = defaultdict(dict)
         self._failed_on: dict[str, set[str]] = defaultdict(set)
+        self._refusals: dict[StepKey, tuple[int, float]] = {}
 
     def failed(self, upstream: str, job_id: str, run: int, now_s: float) -> None:
         """Note that a run of a job failed or stood still.
@@ -49,10 +57,22 @@
         """Return where runs of a job have failed."""
         return frozenset(self._failed_on.get(job_id, ()))
 
+    def refused(self, step: StepKey, now_s: float) -> None:
+        """Note that an upstream refused to start a task of a step."""
+        times, _until_s = self._refusals.get(step, (0, 0.0))
+        delay_s = min(REFUSAL_DELAY_S * 2**times, MAX_REFUSAL_DELAY_S)
+        self._refusals[step] = (times + 1, now_s + delay_s)
+
+    def has_to_wait(self, step: StepKey, now_s: float) -> bool:
+        """Tell whether a step was refused too lately to try again."""
+        return now_s < self._refusals.get(step, (0, 0.0))[1]
+
     def keep_only(self, job_ids: set[str]) -> None:
         """Forget where jobs failed that are no longer of interest."""
         for job_id in self._failed_on.keys() - job_ids:
             del self._failed_on[job_id]
+        for step in [one for one in self._refusals if one.job_id not in job_ids]:
+            del self._refusals[step]
 
 
 __all__ = ["EXCLUDE_MARKS", "Suspicion"]
--- a/src/hyssoprill/coordination/upstream/authority.py
+++ b/src/hyssoprill/coordination/upstream/authority.py
@@ -19,6 +19,9 @@
 """An upstream's clock may be this much slow; from PROTOCOL, "Running tasks"."""
 LAPSE_MARGIN_S = 0.7
 """For answers under way and clock estimates."""
+MAX_LATENESS_S = 12.0
+"""A call without an answer may be carried out so much later, and a lease that it
+extends may count from then; from PROTOCOL and the disruption `applied_late`."""
 MAX_ORDER_AGE_S = 2.0
 """Starts are carried out only on evidence from the planner of at most this age."""
 
@@ -53,4 +56,10 @@
         return boottime_s() - self.tick_s < MAX_ORDER_AGE_S
 
 
-__all__ = ["CLOCK_RATE_ERROR", "LAPSE_AFTER_S", "Authority"]
+__all__ = [
+    "CLOCK_RATE_ERROR",
+    "LAPSE_AFTER_S",
+    "LAPSE_MARGIN_S",
+    "MAX_LATENESS_S",
+    "Authority",
+]
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -10,7 +10,7 @@
 from ...logs import decision
 from ...protocol.upstream_messages import UpstreamOrders, UpstreamReport
 from ...tasks import cancel_all
-from .authority import CLOCK_RATE_ERROR
+from .authority import CLOCK_RATE_ERROR, MAX_LATENESS_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterable
@@ -86,6 +86,7 @@
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
         self._lease_ends_s = 0.0
+        self._doubt_until_s = 0.0
         self._tasks: set[asyncio.Task[Any]] = set()
         self._spawn(self._hold_loop())
 
@@ -126,6 +127,7 @@
             ],
             check_in.remaining_ms,
             check_in.draining,
+            max(self._doubt_until_s - now_s, 0.0),
         )
 
     # Orders
@@ -201,6 +203,7 @@
                 )
             except UpstreamSilentError as exc:
                 decision("start_in_doubt", task=key[0], run=key[1], why=str(exc))
+                self._note_doubt()
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             except UpstreamGoneError:
@@ -265,6 +268,7 @@
                 self._lost("another lifetime answered")
                 return
             except UpstreamSilentError:
+                self._note_doubt()
                 if self._lease_has_lapsed():
                     self._lost("no answer since its lease lapsed")
                     return
@@ -289,6 +293,13 @@
             timeout_s=HOLD_TIMEOUT_S,
         )
 
+    def _note_doubt(self) -> None:
+        """Note that a call without an answer may lengthen the lease later."""
+        is_news = boottime_s() > self._doubt_until_s - MAX_LATENESS_S
+        self._doubt_until_s = boottime_s() + MAX_LATENESS_S + self._max_lease_s
+        if is_news:
+            self._on_change()
+
     def _lease_has_lapsed(self) -> bool:
         return self._lease_ends_s > 0 and boottime_s() > self._lease_ends_s
 
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -46,6 +46,8 @@
         Runs that make no progress, and since when by the agent's clock.
     remaining_ms : int
         Least time that a draining upstream stays; -1 where not told.
+    doubt_s : float
+        So long after the report a call in doubt may still lengthen the lease.
     """
 
     key: str
@@ -61,6 +63,7 @@
     stalled: list[tuple[str, int, float]] = []
     remaining_ms: int = -1
     draining: bool = False
+    doubt_s: float = 0.0
 
 
 class VmReport(Message):
--- a/src/hyssoprill/state/directory.py
+++ b/src/hyssoprill/state/directory.py
@@ -7,7 +7,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Queue:
-    """A queue of jobs, found by host and path."""
+    """A queue of jobs, found by host and path.
+
+    Attributes
+    ----------
+    is_served : bool
+        Whether its jobs can be run here at all.
+    """
 
     name: str
     host: str
@@ -18,6 +24,7 @@
     stretch: float
     target_latency_ms: int
     public: bool
+    is_served: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/planner/test_suspicion.py
+++ b/tests/coordination/planner/test_suspicion.py
@@ -5,6 +5,7 @@
     SPARE_S,
     Suspicion,
 )
+from hyssoprill.state.ledger import StepKey
 
 
 def test_failures_of_one_job_on_one_upstream_exclude_it():
@@ -43,6 +44,17 @@
     assert suspicion.marks("a", 1.1 + SPARE_S) == 0
 
 
+def test_refused_step_waits_longer_each_time():
+    suspicion = Suspicion()
+    step = StepKey("job", 0, 0)
+    suspicion.refused(step, 0.0)
+    assert suspicion.has_to_wait(step, 0.05)
+    assert not suspicion.has_to_wait(step, 0.15)
+    for _ in range(3):
+        suspicion.refused(step, 1.0)
+    assert suspicion.has_to_wait(step, 1.5)
+
+
 def test_jobs_that_are_over_are_forgotten():
     suspicion = Suspicion()
     suspicion.failed("a", "job", 1, 1.0)
