Check runs by random events; never claim without a place in the log; urgent jobs first

Cause: a state machine over planners, agents and upstreams found that a claim made while the reading place was lost would be appended without its condition (the keeper checked before, so no run had shown it). Change: the claim checks by itself; tests/coordination/planner/test_run_machine.py; urgent jobs beyond their guarantee take lower priorities' room at once, for at most half their own work.

--- a/src/hyssoprill/coordination/planner/term.py
+++ b/src/hyssoprill/coordination/planner/term.py
@@ -153,6 +153,8 @@
     async def _claim(self) -> None:
         """Claim the next term where nothing was stored meanwhile."""
         replica = self._replica
+        if replica.end is None:
+            return
         known = replica.ledger.term
         term = known.term + 1 if known is not None else 1
         record = self._record(term=term)
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -134,18 +134,16 @@
     """Return what to stop so that a step fits, or None where nothing may stop.
 
     What is guaranteed is taken from anybody. Beyond that, only from lower priorities:
-    an urgent job stops work that saves its progress; others when they are about to
-    miss their objective, and where less work is lost than half of their own.
+    by an urgent job at once, by others when they are about to miss their objective,
+    and where less work is lost than half of their own.
     """
     if step.within_guarantee:
         return _reclaim(step, candidates, units, reclaim_s)
     lower = [unit for unit in units if unit.priority > step.job.priority]
-    if 0 <= step.slack_s < PREEMPT_SLACK_S:
+    is_urgent = step.job.priority == 0 or step.slack_s < PREEMPT_SLACK_S
+    if is_urgent and step.slack_s >= 0:
         max_cost = step.work * MAX_LOSS_SHARE
         return make_room(step, candidates, lower, max_cost=max_cost)
-    if step.job.priority == 0 and step.slack_s >= 0:
-        saving = [unit for unit in lower if unit.cost <= 0]
-        return make_room(step, candidates, saving)
     return None
 
 
--- /dev/null
+++ b/tests/coordination/planner/test_run_machine.py
@@ -0,0 +1,347 @@
+"""Random events between planners, agents and upstreams, judged by the upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from unittest.mock import patch
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from standins.job_store import MemoryStore
+
+from hyssoprill.coordination.planner import fleet, planner, term
+from hyssoprill.coordination.planner.planner import Planner
+from hyssoprill.coordination.planner.replica import Replica
+from hyssoprill.coordination.planner.term import TermKeeper
+from hyssoprill.errors import StoreError
+from hyssoprill.ports.store import Record
+from hyssoprill.protocol.job import Amounts, Job, Step
+from hyssoprill.protocol.upstream_messages import (
+    EndRow,
+    UpstreamReport,
+    VmOrders,
+    VmReport,
+)
+from hyssoprill.state.directory import Directory
+from hyssoprill.state.ledger import CANCEL_PREFIX, JOB_PREFIX
+
+VMS = ["vm-0", "vm-1", "vm-2"]
+CAPACITY = Amounts(4, 4000, 4000)
+MAX_ATTEMPTS = 2
+
+
+@dataclass
+class ModelUpstream:
+    """One lifetime of an upstream, and what it has seen."""
+
+    vm: str
+    born: int
+    term: int = 0
+    running: dict[str, int] = field(default_factory=dict)
+    highest: dict[str, int] = field(default_factory=dict)
+    ended: list[EndRow] = field(default_factory=list)
+    number: int = 0
+    stopped: set[tuple[str, int]] = field(default_factory=set)
+
+    @property
+    def key(self) -> str:
+        return f"{self.vm}|10.0.0.1:80|{self.born}|i-{self.born}"
+
+    def start(self, term: int, task: str, run: int) -> bool:
+        """Start a run as an upstream does; return whether it began."""
+        if term < self.term or run <= self.highest.get(task, 0):
+            return False
+        self.term = term
+        self.highest[task] = run
+        self.running[task] = run
+        return True
+
+    def stop(self, term: int, task: str, run: int) -> None:
+        if term < self.term:
+            return
+        self.term = term
+        if self.running.get(task) == run:
+            self.end(task, "stopped")
+        self.highest[task] = max(self.highest.get(task, 0), run)
+        self.stopped.add((task, run))
+
+    def end(self, task: str, how: str) -> None:
+        self.number += 1
+        run = self.running.pop(task)
+        self.ended.append(EndRow(self.number, task, run, how, ""))
+
+
+@dataclass
+class ModelEntry:
+    replica: Replica
+    keeper: TermKeeper
+    planner: Planner
+
+
+class RunMachine(RuleBasedStateMachine):
+    """Checks from what upstreams saw that no rule on runs is broken."""
+
+    @initialize()
+    def set_up(self) -> None:
+        self.patches = ExitStack()
+        for module, name, value in (
+            (fleet, "SETTLE_S", -1.0),
+            (planner, "DROP_INTERVAL_S", 1e9),
+            (term, "APPEND_RETRY_S", 0.0),
+        ):
+            self.patches.enter_context(patch.object(module, name, value))
+        self.runner = asyncio.Runner()
+        self.store = MemoryStore()
+        self.sent: dict[str, list[VmOrders]] = defaultdict(list)
+        self.entries = [self._entry(f"entry-{n}") for n in range(2)]
+        self.upstreams = {vm: ModelUpstream(vm, 1) for vm in VMS}
+        self.orders: dict[str, VmOrders] = {}
+        self.late: list[tuple[ModelUpstream, int, str, int]] = []
+        self.jobs: dict[str, Job] = {}
+        self.cancelled_at: dict[str, int] = {}
+        self.failures: dict[str, int] = defaultdict(int)
+        self.done: set[str] = set()
+        self.numbers: dict[str, int] = defaultdict(int)
+        self.born = 1
+        self.claim(0)
+        self.submit(3, False, 2, 2)
+
+    def teardown(self) -> None:
+        if hasattr(self, "runner"):
+            self.runner.close()
+            self.patches.close()
+
+    def _entry(self, name: str) -> ModelEntry:
+        replica = Replica(self.store, lambda: None)
+        keeper = TermKeeper(name, name, f"tcp://{name}", self.store, replica)
+        plans = Planner(
+            replica,
+            keeper,
+            lambda: Directory(version=1),
+            self._send,
+            state_kept_s=1e9,
+            reclaim_s=2.9,
+        )
+        return ModelEntry(replica, keeper, plans)
+
+    def _send(self, vm: str, message: object) -> None:
+        if isinstance(message, VmOrders):
+            self.sent[vm].append(message)
+
+    # Callers
+
+    @rule(
+        count=st.integers(1, 3),
+        gang=st.booleans(),
+        steps=st.integers(1, 2),
+        size=st.sampled_from([1, 2, 4]),
+    )
+    def submit(self, count: int, gang: bool, steps: int, size: int) -> None:
+        need = Amounts(size, 1, 1)
+        made = tuple(
+            Step(count=count, need=need, gang=gang, after=(n - 1,) if n else ())
+            for n in range(steps)
+        )
+        name = f"{len(self.jobs):016x}"
+        job = Job(name, "q", "g", "w", 1, MAX_ATTEMPTS, 3.0, 0, 0, "", made)
+        self.jobs[name] = job
+        record = Record(JOB_PREFIX + name, msgspec.json.encode(job))
+        self.runner.run(self.store.append("jobs", [record]))
+
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        if self.jobs:
+            name = data.draw(st.sampled_from(sorted(self.jobs)))
+            record = Record(CANCEL_PREFIX + name, b"{}")
+            self.runner.run(self.store.append("jobs", [record]))
+
+    # Planners
+
+    @rule(number=st.integers(0, 1))
+    def claim(self, number: int) -> None:
+        entry = self.entries[number]
+        while entry.replica.end != self.store.topic("jobs").end:
+            self.runner.run(entry.replica.read_once(0.0))
+        self.runner.run(entry.keeper._claim())
+
+    @rule(
+        number=st.integers(0, 1),
+        reads=st.sampled_from([True, True, False]),
+        lost=st.sampled_from([False, False, True]),
+        silent=st.sets(st.sampled_from(VMS), max_size=2),
+        late=st.sampled_from([False, False, True]),
+    )
+    def turn(
+        self, number: int, reads: bool, lost: bool, silent: set[str], late: bool
+    ) -> None:
+        """Have a round at an entry, and pass its orders on; some VMs are cut off."""
+        entry = self.entries[number]
+        self.store.lost_answers = 1 if lost else 0
+        if reads:
+            self.runner.run(entry.replica.read_once(0.0))
+        if entry.planner._is_in_term():
+            heard = [vm for vm in VMS if vm not in silent]
+            for vm in heard:
+                self._report(vm, number)
+            try:
+                self.runner.run(entry.planner._round())
+            except StoreError:
+                pass
+            for vm in heard:
+                self.deliver(vm, 0, late)
+        self.store.lost_answers = 0
+
+    @rule(number=st.integers(0, 1))
+    def restart_entry(self, number: int) -> None:
+        self.entries[number] = self._entry(f"entry-{number}")
+        self.claim(1 - number)
+
+    @rule()
+    def forget_history(self) -> None:
+        self.store.topic("jobs").forget()
+
+    # Agents and upstreams
+
+    def _report(self, vm: str, number: int) -> None:
+        upstream = self.upstreams[vm]
+        stopping = self._stopping(vm)
+        present = {(row.task, row.run) for row in upstream.ended}
+        present |= set(upstream.running.items())
+        closed = [one for one in stopping & upstream.stopped if one not in present]
+        self.numbers[vm] += 1
+        listed = UpstreamReport(
+            upstream.key,
+            "g",
+            "z",
+            True,
+            CAPACITY,
+            ["a", "r1"],
+            [],
+            list(upstream.ended),
+            closed,
+        )
+        self.entries[number].planner.reported(
+            VmReport(vm, 1.0, self.numbers[vm], 0, 0, [listed], [])
+        )
+
+    def _stopping(self, vm: str) -> set[tuple[str, int]]:
+        orders = self.orders.get(vm)
+        key = self.upstreams[vm].key
+        for one in orders.upstreams if orders is not None else ():
+            if one.key == key:
+                return set(one.stopping)
+        return set()
+
+    @rule(
+        vm=st.sampled_from(VMS),
+        back=st.sampled_from([0, 0, 0, 1, 2, 5]),
+        late=st.sampled_from([False, False, True]),
+    )
+    def deliver(self, vm: str, back: int, late: bool) -> None:
+        """Carry out the newest orders that were sent, or earlier ones."""
+        if not self.sent[vm]:
+            return
+        message = self.sent[vm][max(len(self.sent[vm]) - 1 - back, 0)]
+        known = self.orders.get(vm)
+        if known is not None and (message.term, message.number) <= (
+            known.term,
+            known.number,
+        ):
+            return
+        self.orders[vm] = message
+        upstream = self.upstreams[vm]
+        for one in message.upstreams:
+            if one.key != upstream.key:
+                continue
+            for run in one.runs:
+                if late:
+                    self.late.append((upstream, message.term, run.task, run.run))
+                else:
+                    self._start(upstream, message.term, run.task, run.run)
+            for task, number in one.stopping:
+                upstream.stop(message.term, task, number)
+            wanted = {(run.task, run.run) for run in one.runs}
+            for task, number in list(upstream.running.items()):
+                if (task, number) not in wanted:
+                    upstream.stop(message.term, task, number)
+            upstream.ended = [
+                row for row in upstream.ended if row.number > one.acked_upto
+            ]
+
+    @rule(data=st.data())
+    def carry_out_late(self, data: st.DataObject) -> None:
+        if self.late:
+            position = data.draw(st.integers(0, len(self.late) - 1))
+            upstream, under, task, run = self.late.pop(position)
+            if self.upstreams[upstream.vm] is upstream:
+                self._start(upstream, under, task, run)
+
+    def _start(self, upstream: ModelUpstream, under: int, task: str, run: int) -> None:
+        if not upstream.start(under, task, run):
+            return
+        assert task not in self.done, "a task that is done starts again"
+        assert self.failures[task] < MAX_ATTEMPTS, "one attempt too many"
+        job_id, _occurrence, step, _index = task.split(".")
+        job = self.jobs[job_id]
+        for earlier in job.steps[int(step)].after:
+            for index in range(job.steps[earlier].count):
+                name = f"{job_id}.0.{earlier}.{index}"
+                gang = job.steps[earlier].gang
+                assert name in self.done or gang, "a step starts before its turn"
+
+    @rule(vm=st.sampled_from(VMS), how=st.sampled_from(["done", "failed"]))
+    def end(self, vm: str, how: str) -> None:
+        upstream = self.upstreams[vm]
+        for task in list(upstream.running)[:1]:
+            job_id, _occurrence, step, _index = task.split(".")
+            gang = self.jobs[job_id].steps[int(step)].gang
+            upstream.end(task, how)
+            if how == "done":
+                self.done.add(task)
+            elif not gang:
+                self.failures[task] += 1
+
+    @rule(vm=st.sampled_from(VMS))
+    def crash(self, vm: str) -> None:
+        """End a lifetime with everything on it, also ends that were not told."""
+        upstream = self.upstreams[vm]
+        for row in upstream.ended:
+            self.done.discard(row.task)
+            if row.how == "failed" and self.failures[row.task]:
+                self.failures[row.task] -= 1
+        self.born += 1
+        self.upstreams[vm] = ModelUpstream(vm, self.born)
+
+    # What has to hold
+
+    @invariant()
+    def one_run_of_each_task(self) -> None:
+        if not hasattr(self, "upstreams"):
+            return
+        seen: set[str] = set()
+        for upstream in self.upstreams.values():
+            for task in upstream.running:
+                assert task not in seen, "two runs of one task"
+                seen.add(task)
+
+    @invariant()
+    def room_of_each_upstream(self) -> None:
+        if not hasattr(self, "upstreams"):
+            return
+        for upstream in self.upstreams.values():
+            used = 0
+            for task in upstream.running:
+                job_id, _occurrence, step, _index = task.split(".")
+                used += self.jobs[job_id].steps[int(step)].need.accelerators
+            assert used <= CAPACITY.accelerators, "an upstream is over its capacity"
+
+
+RunMachine.TestCase.settings = settings(
+    stateful_step_count=100, max_examples=settings().max_examples, deadline=None
+)
+TestRunMachine = RunMachine.TestCase
--- a/tests/coordination/planner/test_term.py
+++ b/tests/coordination/planner/test_term.py
@@ -92,6 +92,19 @@
     play(scenario)
 
 
+def test_entry_whose_reading_place_was_lost_does_not_claim(play):
+    async def scenario(world):
+        first = world.entry("entry-1")
+        await world.until(lambda: first.keeper.term == 1)
+        await first.stop()
+        writes = world.store.writes
+        first.replica.end = None
+        await first.keeper._claim()
+        assert world.store.writes == writes
+
+    play(scenario)
+
+
 def test_forgotten_history_is_read_anew(play):
     async def scenario(world):
         first = world.entry("entry-1")
