--- a/src/hyssoprill/coordination/intake/intake.py
+++ b/src/hyssoprill/coordination/intake/intake.py
@@ -20,8 +20,8 @@
     from ..planner.replica import Replica
     from .relay import Relay
 
-MAX_BATCH = 100
-"""Records of one append of accepted jobs."""
+MAX_BATCH_BYTES = 1_000_000
+"""Most bytes of accepted jobs in one append, half of what the store takes at once."""
 DOUBT_KEPT_S = 20.0
 """Appends without an answer may be carried out until then; above the 12 s in which
 PROTOCOL, "Running tasks", has late calls carried out."""
@@ -59,9 +59,19 @@
             await self._wake.wait()
             self._wake.clear()
             while self._waiting:
-                batch = self._waiting[:MAX_BATCH]
-                del self._waiting[: len(batch)]
-                await self._append(batch)
+                await self._append(self._take_batch())
+
+    def _take_batch(self) -> list[tuple[Record, asyncio.Future[None]]]:
+        """Take records from the front that fit into one append."""
+        size, count = 0, 0
+        for record, _fut in self._waiting:
+            size += len(record.value)
+            if count and size > MAX_BATCH_BYTES:
+                break
+            count += 1
+        batch = self._waiting[:count]
+        del self._waiting[:count]
+        return batch
 
     async def accept(self, job: Job) -> None:
         """Store a job; a repeat of its id changes nothing.
--- a/src/hyssoprill/coordination/planner/changes.py
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -15,6 +15,9 @@
     from ...protocol.job import Step
     from ...state.ledger import Ledger, StepKey
 
+MAX_BATCH_BYTES = 1_000_000
+"""Most bytes of one append, half of what the store takes at once."""
+
 _encoder = msgspec.json.Encoder()
 
 
@@ -34,12 +37,18 @@
     def __bool__(self) -> bool:
         return bool(self._tasks)
 
-    def records(self) -> list[Record]:
-        """Return the records to append."""
-        return [
-            Record(key.record_key, _encoder.encode(StepState(tuple(tasks))))
-            for key, tasks in self._tasks.items()
-        ]
+    def batches(self) -> list[list[Record]]:
+        """Return the records to append, as many in one call as the store takes."""
+        batches: list[list[Record]] = []
+        size = 0
+        for key, tasks in self._tasks.items():
+            record = Record(key.record_key, _encoder.encode(StepState(tuple(tasks))))
+            size += len(record.value)
+            if not batches or size > MAX_BATCH_BYTES:
+                batches.append([])
+                size = len(record.value)
+            batches[-1].append(record)
+        return batches
 
     def task(self, key: StepKey, index: int) -> TaskState:
         """Return a task with the changes so far."""
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -163,8 +163,8 @@
         await self._drop_expired()
 
     async def _store(self, changes: Changes) -> None:
-        if changes:
-            await self._keeper.append(changes.records())
+        for batch in changes.batches():
+            await self._keeper.append(batch)
 
     async def _drop_expired(self) -> None:
         if boottime_s() - self._dropped_s < DROP_INTERVAL_S:
--- a/src/hyssoprill/coordination/planner/term.py
+++ b/src/hyssoprill/coordination/planner/term.py
@@ -29,6 +29,7 @@
 CLAIM_AFTER_S = 1.6
 """Silence in the store after which another entry may claim; above `PROOF_S`."""
 RENEW_INTERVAL_S = 0.4
+"""Leaves room for two appends of a slow store within `PROOF_S`."""
 CHECK_INTERVAL_S = 0.1
 APPEND_RETRY_S = 0.1
 
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -23,11 +23,16 @@
 RunKey = tuple[str, int]
 
 HOLD_WAIT_S = 1.0
+"""Leases are extended at least this often, a sixth of the shortest longest lease."""
 HOLD_TIMEOUT_S = 2.5
+"""For a hold that waits, with room for a slow VM."""
 CALL_TIMEOUT_S = 1.0
+"""For starts and stops, which upstreams answer within milliseconds."""
 RETRY_DELAY_S = 0.15
 MIN_HOLD_INTERVAL_S = 0.05
+"""Upstreams answer holds at once while they list ends that are not acknowledged."""
 MIN_LEASE_S = 0.3
+"""A shorter lease would lapse before it could be extended."""
 REPORTED_PERCENT = 10
 """Progress is reported again when it has grown by so much."""
 MAX_STALL_S = 3.0
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -134,10 +134,6 @@
         for key in [one for one in self._sessions if one.id == upstream_id]:
             self._end(key, "it left")
 
-    def knows(self, upstream_id: str) -> bool:
-        """Tell whether a lifetime with this id is known."""
-        return any(one.id == upstream_id for one in self._sessions)
-
     def _end(self, key: UpstreamKey, why: str) -> None:
         decision("upstream_ended", upstream=str(key), why=why)
         session = self._sessions.pop(key)
--- a/src/hyssoprill/job_settings.py
+++ b/src/hyssoprill/job_settings.py
@@ -20,13 +20,12 @@
 
     Attributes
     ----------
-    record_bytes, request_bytes : int
-        Largest record, and most bytes of records in one append.
+    record_bytes : int
+        Largest record.
     """
 
     address: Address
     record_bytes: Annotated[int, Meta(ge=1024)] = 262_144
-    request_bytes: Annotated[int, Meta(ge=1024)] = 2_097_152
 
 
 class JobBounds(Struct, frozen=True, forbid_unknown_fields=True):
@@ -34,8 +33,6 @@
 
     Attributes
     ----------
-    max_lease_ms : int
-        Longest lease that an upstream takes.
     key_revocation_ms : int
         A key that was taken away serves no longer than this.
     stop_grace_s : float
@@ -46,7 +43,6 @@
         For how long callers may ask for a job that is over.
     """
 
-    max_lease_ms: Milliseconds
     key_revocation_ms: Milliseconds
     stop_grace_s: Seconds
     reclaim_ms: Milliseconds = 2900
@@ -73,7 +69,13 @@
 class JobAgentSettings(
     Struct, frozen=True, forbid_unknown_fields=True, tag_field="role", tag="job-agent"
 ):
-    """Settings of an agent for durable jobs."""
+    """Settings of an agent for durable jobs.
+
+    Attributes
+    ----------
+    max_lease_ms : int
+        Longest lease that an upstream takes.
+    """
 
     name: VmName
     availability_zone: VmName
@@ -81,9 +83,8 @@
     address: VmName
     metrics_port: Port
     check_in_address: Address
-    upstream_address: Address
+    max_lease_ms: Milliseconds
     store: StoreSettings
-    bounds: JobBounds
 
 
 JobSettings = JobEntrySettings | JobAgentSettings
--- a/src/hyssoprill/state/directory.py
+++ b/src/hyssoprill/state/directory.py
@@ -52,7 +52,6 @@
     queues: tuple[Queue, ...] = ()
     workspaces: tuple[WorkspaceTerms, ...] = ()
     zones_out: frozenset[str] = frozenset()
-    guarded_groups: frozenset[str] = frozenset()
     max_body_bytes: int = 262_144
 
     def find_queue(self, host: str, path: str) -> Queue | None:
--- a/standins/job_cluster.py
+++ b/standins/job_cluster.py
@@ -99,6 +99,7 @@
                 "link_port": free_port(),
                 "callers_address": f"127.0.0.1:{self.fronts[name]}",
                 "readiness_address": f"127.0.0.1:{self.ready_ports[name]}",
+                "bounds": {"key_revocation_ms": 5000, "stop_grace_s": 3.0},
             },
         )
 
@@ -111,7 +112,7 @@
             {
                 "role": "job-agent",
                 "check_in_address": f"127.0.0.1:{control}",
-                "upstream_address": f"127.0.0.1:{worker}",
+                "max_lease_ms": 6000,
             },
         )
         command = ["-m", "standins.platform_worker", "--port", str(worker)]
@@ -127,11 +128,6 @@
             "address": "127.0.0.1",
             "metrics_port": free_port(),
             "store": {"address": f"127.0.0.1:{self.store_port}"},
-            "bounds": {
-                "max_lease_ms": 6000,
-                "key_revocation_ms": 5000,
-                "stop_grace_s": 3.0,
-            },
             **fields,
         }
         path.write_text(json.dumps(settings))
