--- a/src/hyssoprill/cli/trace.py
+++ b/src/hyssoprill/cli/trace.py
@@ -75,19 +75,21 @@
 
 
 def trace_job(job_id: str, lines: list[Line]) -> list[Line]:
-    """Return the lines on a job, with changes of what it depended on."""
+    """Return the lines on a job, with changes at the processes that it passed."""
     own = [line for line in lines if _concerns(line, job_id)]
     if not own:
         return []
     first_ms = min(line.at_ms for line in own) - CONTEXT_S * 1000
     last_ms = max(line.at_ms for line in own) + CONTEXT_S * 1000
-    upstreams = {line.fields.get("upstream") for line in own} - {None}
+    upstreams = {line.fields["upstream"] for line in own if "upstream" in line.fields}
+    processes = {line.process for line in own}
+    processes |= {str(upstream).partition("|")[0] for upstream in upstreams}
     around = [
         line
         for line in lines
         if first_ms <= line.at_ms <= last_ms
         and (
-            line.event in DEPENDENCY_EVENTS
+            (line.event in DEPENDENCY_EVENTS and line.process in processes)
             or (
                 line.event in UPSTREAM_EVENTS
                 and line.fields.get("upstream") in upstreams
