Go back after one failure, make room task by task, take settings up while running

Settings that changed were read but not put in force. Change: one failure makes an upstream the last choice, two exclude it for the job; tasks that are no gang get room one by one; estimates are trusted to a half. Bounds of changed settings apply at once. Tests failed first: test_dispatch.py, test_suspicion.py.

--- a/src/hyssoprill/coordination/intake/entry.py
+++ b/src/hyssoprill/coordination/intake/entry.py
@@ -39,6 +39,8 @@
     from ...transport.metrics import Metrics
     from .directory import Build
 
+REVOCATION_MARGIN_MS = 700
+"""Knowledge of the keys is given up this much before its age reaches the bound."""
 READY_AGE_S = 2.0
 """With older knowledge of config or jobs, the balancer is told to go elsewhere."""
 ANNOUNCE_RETRY_S = 0.3
@@ -108,8 +110,7 @@
             self.keeper,
             lambda: self.directory.current,
             self._send,
-            state_kept_s=self._bounds.state_kept_s,
-            reclaim_s=self._bounds.reclaim_ms / 1000,
+            bounds=self._bounds,
         )
         for work in (
             self.replica.run(),
@@ -132,6 +133,18 @@
         self.leaving = True
         await self.keeper.resign()
 
+    def set_bounds(self, bounds: JobBounds) -> None:
+        """Put other bounds in force."""
+        self._bounds = bounds
+        if self._planner is not None:
+            self._planner.set_bounds(bounds)
+
+    @property
+    def keys_are_known(self) -> bool:
+        """Whether no key can have been taken away longer ago than is promised."""
+        max_age_ms = self._bounds.key_revocation_ms - REVOCATION_MARGIN_MS
+        return self.directory.age_s * 1000 < max_age_ms
+
     @property
     def is_ready(self) -> bool:
         """Whether new callers are served here."""
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ...job_settings import JobBounds
     from ...protocol.upstream_messages import VmHeartbeat, VmReport
     from ...state.directory import Directory
     from ...state.ledger import StepKey
@@ -51,10 +52,8 @@
         Returns the operator's view in force.
     send : callable
         Sends a message to the agent of a VM.
-    state_kept_s : float
-        For how long callers may ask for a job that is over.
-    reclaim_s : float
-        Within this time a guaranteed job has to have begun.
+    bounds : JobBounds
+        What is promised to callers.
     """
 
     def __init__(
@@ -64,15 +63,13 @@
         directory: Callable[[], Directory],
         send: Send,
         *,
-        state_kept_s: float,
-        reclaim_s: float,
+        bounds: JobBounds,
     ) -> None:
         self._ledger = replica.ledger
         self._keeper = keeper
         self._directory = directory
         self._send = send
-        self._state_kept_s = state_kept_s
-        self._reclaim_s = reclaim_s
+        self.set_bounds(bounds)
         self._news = asyncio.Event()
         self._fleet = Fleet()
         self._stopping = StopNotes()
@@ -85,6 +82,11 @@
         self._dropped_s = boottime_s()
         self._term = 0
 
+    def set_bounds(self, bounds: JobBounds) -> None:
+        """Put other bounds in force."""
+        self._state_kept_s = bounds.state_kept_s
+        self._reclaim_s = bounds.reclaim_ms / 1000
+
     def wake(self) -> None:
         """Have a round soon."""
         self._news.set()
--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -28,6 +28,8 @@
     from .runs import StopNotes
     from .suspicion import Suspicion
 
+SHUN_FAILURES = 2
+"""A job does not go back where so many of its runs have failed."""
 RACK_LABEL_INDEX = 1
 """Position of the rack among an upstream's labels."""
 
@@ -110,6 +112,9 @@
                         _slack_s(entry, occurrence, now_ms),
                         within_guarantee=entry.job.id in claims,
                         avoid=self.suspicion.failed_on(entry.job.id),
+                        shun=self.suspicion.failed_on(
+                            entry.job.id, least=SHUN_FAILURES
+                        ),
                         is_last=_is_last_attempt(entry, state, indices),
                     )
                 )
--- a/src/hyssoprill/coordination/planner/suspicion.py
+++ b/src/hyssoprill/coordination/planner/suspicion.py
@@ -27,7 +27,7 @@
 
     def __init__(self) -> None:
         self._failures: dict[str, dict[str, dict[int, float]]] = defaultdict(dict)
-        self._failed_on: dict[str, set[str]] = defaultdict(set)
+        self._failed_on: dict[str, dict[str, set[int]]] = defaultdict(dict)
         self._refusals: dict[StepKey, tuple[int, float]] = {}
 
     def failed(self, upstream: str, job_id: str, run: int, now_s: float) -> None:
@@ -36,7 +36,7 @@
         Tasks that were started together, as those of a gang, count once.
         """
         failed_on = self._failed_on[job_id]
-        failed_on.add(upstream)
+        failed_on.setdefault(upstream, set()).add(run)
         if len(failed_on) == 1:
             self._failures[upstream].setdefault(job_id, {})[run] = now_s
             return
@@ -53,9 +53,10 @@
         times = (at for runs in known.values() for at in runs.values())
         return sum(now_s - at < SPARE_S for at in times)
 
-    def failed_on(self, job_id: str) -> frozenset[str]:
-        """Return where runs of a job have failed."""
-        return frozenset(self._failed_on.get(job_id, ()))
+    def failed_on(self, job_id: str, *, least: int = 1) -> frozenset[str]:
+        """Return the upstreams where at least so many runs of a job have failed."""
+        known = self._failed_on.get(job_id, {})
+        return frozenset(one for one, runs in known.items() if len(runs) >= least)
 
     def refused(self, step: StepKey, now_s: float) -> None:
         """Note that an upstream refused to start a task of a step."""
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -27,6 +27,8 @@
 """Of the time to reclaim what is guaranteed, for the stops and the starts."""
 MAX_LOSS_SHARE = 0.5
 """Beyond its guarantee, a step may cost others this part of its own work."""
+ESTIMATE_DOUBT = 0.5
+"""Estimates may be this part too short, so that an objective is later than it seems."""
 END_FACTOR = 1.3
 """Runs may take this much longer than they were expected to."""
 
@@ -83,14 +85,14 @@
 
 
 def _trusted(step: WaitingStep, candidates: list[UpstreamView]) -> list[UpstreamView]:
-    """Leave out upstreams where the job failed, or any has before its last attempt.
+    """Leave out upstreams that fail the job, and suspected ones for its last attempt.
 
     An upstream that fails all it starts always has room: a job that may go back there
     uses up its attempts within a second.
     """
     for is_trusted in (
-        lambda one: one.key not in step.avoid and not (step.is_last and one.penalty),
-        lambda one: one.key not in step.avoid,
+        lambda one: one.key not in step.shun and not (step.is_last and one.penalty),
+        lambda one: one.key not in step.shun,
     ):
         trusted = [one for one in candidates if is_trusted(one)]
         if any(one.capacity.covers(step.step.need) for one in trusted):
@@ -135,16 +137,22 @@
 
     What is guaranteed is taken from anybody. Beyond that, only from lower priorities:
     by an urgent job at once, by others when they are about to miss their objective,
-    and where less work is lost than half of their own.
+    and where less work is lost than half of their own. Where not all tasks of a step
+    find room so, one does.
     """
     if step.within_guarantee:
         return _reclaim(step, candidates, units, reclaim_s)
     lower = [unit for unit in units if unit.priority > step.job.priority]
     is_urgent = step.job.priority == 0 or step.slack_s < PREEMPT_SLACK_S
-    if is_urgent and step.slack_s >= 0:
-        max_cost = step.work * MAX_LOSS_SHARE
-        return make_room(step, candidates, lower, max_cost=max_cost)
-    return None
+    doubt_s = step.step.estimate_ms / 1000 * ESTIMATE_DOUBT
+    if not is_urgent or step.slack_s < -doubt_s:
+        return None
+    max_cost = step.work * MAX_LOSS_SHARE
+    whole = make_room(step, candidates, lower, max_cost=max_cost)
+    if whole is not None or step.step.gang:
+        return whole
+    one = replace(step, indices=step.indices[:1])
+    return make_room(one, candidates, lower, max_cost=one.work * MAX_LOSS_SHARE)
 
 
 def _reclaim(
--- a/src/hyssoprill/coordination/policy/dispatch/view.py
+++ b/src/hyssoprill/coordination/policy/dispatch/view.py
@@ -85,7 +85,9 @@
     within_guarantee : bool
         Whether its workspace's guarantee covers it.
     avoid : frozenset of str
-        Upstreams where its tasks failed.
+        Upstreams where its tasks failed, used last.
+    shun : frozenset of str
+        Upstreams where its tasks failed repeatedly, not used.
     is_last : bool
         Whether one more failure fails the job.
     """
@@ -99,6 +101,7 @@
     slack_s: float
     within_guarantee: bool = False
     avoid: frozenset[str] = frozenset()
+    shun: frozenset[str] = frozenset()
     is_last: bool = False
 
     @property
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -103,6 +103,10 @@
             await session.close()
         await self._stack.aclose()
 
+    def set_max_lease(self, max_lease_s: float) -> None:
+        """Put another longest lease in force, for upstreams found from now on."""
+        self._max_lease_s = max_lease_s
+
     # Check-ins
 
     def checked_in(self, check_in: CheckIn) -> bool:
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -12,6 +12,7 @@
 from hyssoprill.coordination.planner.replica import Replica
 from hyssoprill.coordination.planner.term import TermKeeper
 from hyssoprill.errors import StoreInDoubtError
+from hyssoprill.job_settings import JobBounds
 from hyssoprill.ports.store import Record
 from hyssoprill.protocol.job import Amounts, Job, Step
 from hyssoprill.protocol.upstream_messages import (
@@ -50,8 +51,7 @@
             self.keeper,
             lambda: self.directory,
             lambda vm, message: self.sent.append((vm, message)),
-            state_kept_s=120.0,
-            reclaim_s=2.9,
+            bounds=JobBounds(key_revocation_ms=5000, stop_grace_s=6.0),
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/tests/coordination/planner/test_run_machine.py
+++ b/tests/coordination/planner/test_run_machine.py
@@ -19,6 +19,7 @@
 from hyssoprill.coordination.planner.replica import Replica
 from hyssoprill.coordination.planner.term import TermKeeper
 from hyssoprill.errors import StoreError
+from hyssoprill.job_settings import JobBounds
 from hyssoprill.ports.store import Record
 from hyssoprill.protocol.job import Amounts, Job, Step
 from hyssoprill.protocol.upstream_messages import (
@@ -124,8 +125,7 @@
             keeper,
             lambda: Directory(version=1),
             self._send,
-            state_kept_s=1e9,
-            reclaim_s=2.9,
+            bounds=JobBounds(key_revocation_ms=5000, stop_grace_s=6.0),
         )
         return ModelEntry(replica, keeper, plans)
 
--- a/tests/coordination/planner/test_suspicion.py
+++ b/tests/coordination/planner/test_suspicion.py
@@ -44,6 +44,15 @@
     assert suspicion.marks("a", 1.1 + SPARE_S) == 0
 
 
+def test_upstream_is_told_apart_by_how_often_a_job_failed_there():
+    suspicion = Suspicion()
+    suspicion.failed("a", "job", 1, 1.0)
+    assert suspicion.failed_on("job") == {"a"}
+    assert suspicion.failed_on("job", least=2) == frozenset()
+    suspicion.failed("a", "job", 2, 1.1)
+    assert suspicion.failed_on("job", least=2) == {"a"}
+
+
 def test_refused_step_waits_longer_each_time():
     suspicion = Suspicion()
     step = StepKey("job", 0, 0)
--- a/tests/coordination/policy/dispatch/test_dispatch.py
+++ b/tests/coordination/policy/dispatch/test_dispatch.py
@@ -190,14 +190,14 @@
     world.upstream("grey")
     world.upstream("full", free=NOTHING)
     step = world.step(need=WHOLE)
-    step.avoid = frozenset({"grey"})
+    step.shun = frozenset({"grey"})
     assert plan_round([step], world.upstreams, []).starts == []
 
 
 def test_job_goes_back_where_nothing_else_could_ever_run_it(world):
     world.upstream("only")
     step = world.step(need=WHOLE)
-    step.avoid = frozenset({"only"})
+    step.shun = frozenset({"only"})
     assert len(plan_round([step], world.upstreams, []).starts) == 1
 
 
@@ -207,3 +207,30 @@
     step = world.step(need=WHOLE)
     step.is_last = True
     assert plan_round([step], world.upstreams, []).starts == []
+
+
+def test_job_that_failed_once_goes_back_only_where_nothing_else_has_room(world):
+    world.upstream("failed", free=HALF)
+    world.upstream("other")
+    step = world.step()
+    step.avoid = frozenset({"failed"})
+    plan = plan_round([step], world.upstreams, [])
+    assert [start.upstream for start in plan.starts] == ["other"]
+
+
+def test_urgent_tasks_get_room_one_by_one_where_all_would_cost_too_much(world):
+    for key in ("a", "b"):
+        world.upstream(key)
+    cheap = world.running("cheap", "a", cost=50.0)
+    world.running("dear", "b", cost=5000.0)
+    urgent = world.step(count=2, need=WHOLE, priority=0, slack_s=2.0)
+    plan = plan_round([urgent], world.upstreams, world.units)
+    assert [unit for unit, _why in plan.stops] == [cheap]
+
+
+def test_urgent_job_is_not_given_up_for_an_estimate_that_may_be_short(world):
+    world.upstream("a")
+    cheap = world.running("cheap", "a", cost=50.0)
+    urgent = world.step(need=WHOLE, priority=0, slack_s=-1.0)
+    plan = plan_round([urgent], world.upstreams, world.units)
+    assert [unit for unit, _why in plan.stops] == [cheap]
--- a/tests/platform/test_job_path.py
+++ b/tests/platform/test_job_path.py
@@ -181,6 +181,22 @@
     assert shared_jobs.state("entry-1", job_id(9)) == "410"
 
 
+def test_settings_with_a_fault_are_refused_and_the_old_ones_stay(shared_jobs):
+    path = shared_jobs.settings_path("entry-1")
+    good = path.read_bytes()
+    path.write_bytes(b'{"role": "job-entry"}')
+    shared_jobs.signal("entry-1", signal.SIGHUP)
+    shared_jobs.wait_until(
+        lambda: any(
+            line["event"] == "settings_refused"
+            for line in shared_jobs.log_lines("entry-1")
+        ),
+        4.0,
+    )
+    assert shared_jobs.call("entry-1", "GET", PREFIX)[0] == 200
+    path.write_bytes(good)
+
+
 def test_settings_are_checked_again_when_the_file_changes(shared_jobs):
     path = shared_jobs.settings_path("entry-2")
     changed = json.loads(path.read_text())
