Count a run that fails at once twice against its upstream

Change: a failure within a twentieth of the estimate excludes the upstream at once, for the job and, for 6 s, for others. test_suspicion.py failed first.

--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -18,6 +18,8 @@
     from .runs import StopNotes
     from .suspicion import Suspicion
 
+AT_ONCE_SHARE = 0.05
+"""A run that fails within this part of its estimate has failed at once."""
 PROGRESS_INTERVAL_S = 1.0
 """Saved progress is stored this often: a process and its upstream may end together."""
 
@@ -102,7 +104,14 @@
         if how == "done":
             self.suspicion.succeeded(upstream)
         elif how == "failed":
-            self.suspicion.failed(upstream, job.id, run.run, boottime_s())
+            estimate_s = job.steps[run.step.step].estimate_ms / 1000
+            self.suspicion.failed(
+                upstream,
+                job.id,
+                run.run,
+                boottime_s(),
+                at_once=ran_s(before) < estimate_s * AT_ONCE_SHARE,
+            )
         elif how.startswith("refused"):
             self.suspicion.refused(run.step, boottime_s())
         decision(
--- a/src/hyssoprill/coordination/planner/suspicion.py
+++ b/src/hyssoprill/coordination/planner/suspicion.py
@@ -30,15 +30,26 @@
         self._failed_on: dict[str, dict[str, set[int]]] = defaultdict(dict)
         self._refusals: dict[StepKey, tuple[int, float]] = {}
 
-    def failed(self, upstream: str, job_id: str, run: int, now_s: float) -> None:
+    def failed(
+        self,
+        upstream: str,
+        job_id: str,
+        run: int,
+        now_s: float,
+        *,
+        at_once: bool = False,
+    ) -> None:
         """Note that a run of a job failed or stood still.
 
-        Tasks that were started together, as those of a gang, count once.
+        Tasks that were started together, as those of a gang, count once. A run that
+        failed at once counts twice: so do those of an upstream that fails them all.
         """
         failed_on = self._failed_on[job_id]
-        failed_on.setdefault(upstream, set()).add(run)
+        marks = {run, -run} if at_once else {run}
+        failed_on.setdefault(upstream, set()).update(marks)
         if len(failed_on) == 1:
-            self._failures[upstream].setdefault(job_id, {})[run] = now_s
+            known = self._failures[upstream].setdefault(job_id, {})
+            known.update(dict.fromkeys(marks, now_s))
             return
         for other in failed_on:
             self._failures[other].pop(job_id, None)
--- a/tests/coordination/planner/test_suspicion.py
+++ b/tests/coordination/planner/test_suspicion.py
@@ -53,6 +53,13 @@
     assert suspicion.failed_on("job", least=2) == {"a"}
 
 
+def test_upstream_that_fails_a_run_at_once_is_excluded():
+    suspicion = Suspicion()
+    suspicion.failed("a", "job", 1, 1.0, at_once=True)
+    assert suspicion.marks("a", 1.0) >= EXCLUDE_MARKS
+    assert suspicion.failed_on("job", least=2) == {"a"}
+
+
 def test_refused_step_waits_longer_each_time():
     suspicion = Suspicion()
     step = StepKey("job", 0, 0)
