--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -46,7 +46,10 @@
     waiting_since_s: dict[StepKey, float]
 
     def upstreams(self) -> list[UpstreamView]:
-        """Return the upstreams that may get starts."""
+        """Return the upstreams that may get starts.
+
+        Those that seem to fail all they start are left out, unless all do.
+        """
         views = []
         now_s = boottime_s()
         for name, vm in self.fleet.vms.items():
@@ -56,9 +59,8 @@
                 if not report.accepting or report.zone in self.directory.zones_out:
                     continue
                 marks = self.suspicion.marks(report.key, now_s)
-                if marks < EXCLUDE_MARKS:
-                    views.append(self._view(report, marks))
-        return views
+                views.append(self._view(report, marks))
+        return [one for one in views if one.penalty < EXCLUDE_MARKS] or views
 
     def _view(self, report: UpstreamReport, marks: int) -> UpstreamView:
         used, leaving = NOTHING, NOTHING
