--- a/src/hyssoprill/coordination/intake/entry.py
+++ b/src/hyssoprill/coordination/intake/entry.py
@@ -5,7 +5,7 @@
 import asyncio
 from contextlib import AsyncExitStack
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, Any, Self
+from typing import TYPE_CHECKING, Self
 
 from ...errors import StoreError
 from ...logs import decision
@@ -18,7 +18,7 @@
     VmHeartbeat,
     VmReport,
 )
-from ...tasks import cancel_all
+from ...tasks import TaskSet
 from ...transport.frame import FrameCodec
 from ...transport.link import LinkHub
 from ..identity import new_incarnation
@@ -31,8 +31,6 @@
 from .relay import Relay
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-
     from ...job_settings import JobBounds
     from ...ports.store import StorePort
     from ...protocol.messages import Envelope
@@ -91,7 +89,7 @@
         metrics.watch("jobs_active", lambda: len(self.replica.ledger.active))
         metrics.watch("term", lambda: self.keeper.term)
         self._stack = AsyncExitStack()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = TaskSet()
 
     async def __aenter__(self) -> Self:
         self._hub = await self._stack.enter_async_context(
@@ -121,11 +119,11 @@
             self._announce(),
             self._members.run(),
         ):
-            self._spawn(work)
+            self._tasks.spawn(work)
         return self
 
     async def __aexit__(self, *_exc_info: object) -> None:
-        await cancel_all(self._tasks)
+        await self._tasks.close()
         await self._stack.aclose()
 
     async def leave(self) -> None:
@@ -191,7 +189,7 @@
 
     @_handle.register
     async def _(self, message: RelayAppend, sender: str) -> None:
-        self._spawn(self._append_for(message, sender))
+        self._tasks.spawn(self._append_for(message, sender))
 
     @_handle.register
     async def _(self, message: RelayResult, _sender: str) -> None:
@@ -211,7 +209,7 @@
         if queue is None:
             queue = asyncio.Queue(MAX_PENDING_SENDS)
             self._sends[peer] = queue
-            self._spawn(self._send_all(peer, queue))
+            self._tasks.spawn(self._send_all(peer, queue))
         try:
             queue.put_nowait(message)
         except asyncio.QueueFull:
@@ -223,10 +221,5 @@
             if not await self._hub.send(peer, message):
                 self.metrics.count("messages_unsent")
 
-    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 __all__ = ["DurableEntry"]
--- /dev/null
+++ b/src/hyssoprill/coordination/upstream/progress.py
@@ -0,0 +1,97 @@
+"""Watches how far an upstream's runs are, and which of them stand still."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...clock import boottime_s
+
+if TYPE_CHECKING:
+    from ...ports.upstream import Listing
+    from ...protocol.upstream_messages import RunRow
+
+RunKey = tuple[str, int]
+
+REPORTED_PERCENT = 10
+"""Progress is reported again when it has grown by so much."""
+MAX_STALL_S = 3.0
+"""A task whose progress stands still for this long is reported as stalled."""
+MIN_STALL_S = 1.5
+STALL_FACTOR = 12
+"""So many times as long as it took for one percent so far, between these bounds."""
+
+
+class ProgressWatch:
+    """Remembers since when each run is as far as it is.
+
+    Attributes
+    ----------
+    is_news : bool
+        Whether runs have come further, or saved, since the last report.
+    """
+
+    def __init__(self) -> None:
+        self.is_news = False
+        self._since: dict[RunKey, tuple[int, float]] = {}
+        self._paces: dict[RunKey, float] = {}
+        self._has_stalled = False
+        self._reported: dict[RunKey, RunRow] = {}
+
+    def note(self, listing: Listing) -> bool:
+        """Take in a list of runs; return whether one has newly stalled."""
+        now_s = boottime_s()
+        since: dict[RunKey, tuple[int, float]] = {}
+        for row in listing.running:
+            key = run_key(row)
+            known = self._since.get(key)
+            if known is not None and known[0] == row.percent:
+                since[key] = known
+                continue
+            since[key] = (row.percent, now_s)
+            if known is not None:
+                pace = (now_s - known[1]) / max(row.percent - known[0], 1)
+                self._paces[key] = max(self._paces.get(key, 0.0), pace)
+        self._since = since
+        self._paces = {key: one for key, one in self._paces.items() if key in since}
+        self.is_news |= any(self._is_further(row) for row in listing.running)
+        had_stalled = self._has_stalled
+        self._has_stalled = bool(self.stalled())
+        return self._has_stalled and not had_stalled
+
+    def stalled(self) -> list[tuple[str, int, float]]:
+        """Return the runs that stand still, and since when."""
+        now_s = boottime_s()
+        return [
+            (*key, since_s)
+            for key, (_percent, since_s) in self._since.items()
+            if now_s - since_s >= self._limit_s(key)
+        ]
+
+    def reported(self, listing: Listing | None) -> None:
+        """Note what the planner is told now."""
+        self.is_news = False
+        rows = listing.running if listing is not None else ()
+        self._reported = {run_key(row): row for row in rows}
+
+    def _limit_s(self, key: RunKey) -> float:
+        pace = self._paces.get(key)
+        if pace is None:
+            return MAX_STALL_S
+        return min(max(STALL_FACTOR * pace, MIN_STALL_S), MAX_STALL_S)
+
+    def _is_further(self, row: RunRow) -> bool:
+        """Tell whether a run has saved anew or come further by a good part."""
+        before = self._reported.get(run_key(row))
+        if before is None:
+            return False
+        if row.saved != before.saved:
+            return True
+        return row.percent - before.percent >= REPORTED_PERCENT
+
+
+def run_key(row: RunRow) -> RunKey:
+    """Return the task and the number of a run."""
+    return row.task, row.run
+
+
+__all__ = ["ProgressWatch", "RunKey", "run_key"]
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -9,19 +9,18 @@
 from ...errors import UpstreamGoneError, UpstreamSilentError
 from ...logs import decision
 from ...protocol.upstream_messages import UpstreamOrders, UpstreamReport
-from ...tasks import cancel_all
+from ...tasks import TaskSet
 from .authority import CLOCK_RATE_ERROR, MAX_LATENESS_S
+from .progress import ProgressWatch, RunKey, run_key
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Iterable
+    from collections.abc import Callable, Coroutine
 
     from ...ports.upstream import CheckIn, Listing, UpstreamPort
     from ...protocol.upstream_key import UpstreamKey
-    from ...protocol.upstream_messages import RunOrder, RunRow
+    from ...protocol.upstream_messages import RunOrder
     from .authority import Authority
 
-RunKey = tuple[str, int]
-
 HOLD_WAIT_S = 1.0
 """Leases are extended at least this often, a sixth of the shortest longest lease."""
 HOLD_TIMEOUT_S = 2.5
@@ -33,13 +32,6 @@
 """Upstreams answer holds at once while they list ends that are not acknowledged."""
 MIN_LEASE_S = 0.3
 """A shorter lease would lapse before it could be extended."""
-REPORTED_PERCENT = 10
-"""Progress is reported again when it has grown by so much."""
-MAX_STALL_S = 3.0
-"""A task whose progress stands still for this long is reported as stalled."""
-MIN_STALL_S = 1.5
-STALL_FACTOR = 12
-"""So many times as long as it took for one percent so far, between these bounds."""
 
 
 class UpstreamSession:
@@ -71,7 +63,7 @@
         self.key = key
         self.check_in = check_in
         self.gone = False
-        self.has_new_progress = False
+        self.progress = ProgressWatch()
         self._port = port
         self._authority = authority
         self._max_lease_s = max_lease_s
@@ -84,20 +76,16 @@
         self._closed: set[RunKey] = set()
         self._refused: dict[RunKey, str] = {}
         self._listing: Listing | None = None
-        self._reported: tuple[RunRow, ...] = ()
-        self._progress: dict[RunKey, tuple[int, float]] = {}
-        self._paces: dict[RunKey, float] = {}
-        self._has_stalled = False
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
         self._lease_ends_s = 0.0
         self._doubt_until_s = 0.0
-        self._tasks: set[asyncio.Task[Any]] = set()
-        self._spawn(self._hold_loop())
+        self._tasks = TaskSet()
+        self._tasks.spawn(self._hold_loop())
 
     async def close(self) -> None:
         """End all calls."""
-        await cancel_all(self._tasks)
+        await self._tasks.close()
         self._port.close()
 
     def checked_in(self, check_in: CheckIn) -> None:
@@ -109,8 +97,7 @@
 
     def report(self) -> UpstreamReport:
         """Return what the planner is told."""
-        self.has_new_progress = False
-        self._reported = self._listing.running if self._listing is not None else ()
+        self.progress.reported(self._listing)
         listing, check_in = self._listing, self.check_in
         now_s = boottime_s()
         running = list(listing.running) if listing is not None else []
@@ -125,11 +112,7 @@
             list(listing.ended) if listing is not None else [],
             sorted(self._closed),
             [(task, run, why) for (task, run), why in sorted(self._refused.items())],
-            [
-                (*key, self._progress[key][1])
-                for key in map(_run_key, running)
-                if self._is_stalled(key, now_s)
-            ],
+            self.progress.stalled(),
             check_in.remaining_ms,
             check_in.draining,
             max(self._doubt_until_s - now_s, 0.0),
@@ -163,7 +146,7 @@
             return
         known = self._wanted.keys() | set(self._orders.stopping)
         for row in self._listing.running:
-            key = _run_key(row)
+            key = run_key(row)
             if key not in known and key not in self._calls:
                 decision("run_stopped", task=row.task, run=row.run, why="no order")
                 self._call(key, "stop", self._stop)
@@ -181,7 +164,7 @@
             if under_way[0] == kind:
                 return
             under_way[1].cancel()
-        task = self._spawn(work(key, *args))
+        task = self._tasks.spawn(work(key, *args))
         self._calls[key] = (kind, task)
         task.add_done_callback(lambda done: self._call_ended(key, done))
 
@@ -292,7 +275,7 @@
             self._lease_ends_s = max(self._lease_ends_s, ends_s)
         return await self._port.hold(
             term=self._authority.term,
-            acked_upto=self._orders.acked_upto if self._orders is not None else 0,
+            stored_upto=self._orders.stored_upto if self._orders is not None else 0,
             lease_until_ms=until_ms,
             wait_s=0.0 if first else HOLD_WAIT_S,
             timeout_s=HOLD_TIMEOUT_S,
@@ -322,86 +305,30 @@
         before = self._listing
         self._clock_ms, self._clock_read_s = listing.clock_ms, boottime_s()
         self._listing = listing
-        stalled_before = self._note_progress(listing)
-        present = {_run_key(row) for row in listing.running}
+        newly_stalled = self.progress.note(listing)
+        present = {run_key(row) for row in listing.running}
         present |= {(row.task, row.run) for row in listing.ended}
         closed = {
             key
             for key, at in self._stop_answered_s.items()
             if at < sent_s and key not in present
         }
-        self.has_new_progress |= _progress_differs(self._reported, listing.running)
         news = closed - self._closed
         self._closed |= closed
         self._stop_strangers()
         rows_changed = before is None or (
             before.ended != listing.ended
-            or {_run_key(row) for row in before.running}
-            != {_run_key(row) for row in listing.running}
+            or {run_key(row) for row in before.running}
+            != {run_key(row) for row in listing.running}
         )
-        if news or rows_changed or stalled_before:
+        if news or rows_changed or newly_stalled:
             self._on_change()
 
-    def _note_progress(self, listing: Listing) -> bool:
-        """Note how far tasks are; return whether one has newly stalled."""
-        now_s = boottime_s()
-        kept: dict[RunKey, tuple[int, float]] = {}
-        newly = False
-        for row in listing.running:
-            key = _run_key(row)
-            known = self._progress.get(key)
-            if known is not None and known[0] == row.percent:
-                kept[key] = known
-                newly |= self._is_stalled(key, now_s)
-            else:
-                kept[key] = (row.percent, now_s)
-                if known is not None:
-                    pace = (now_s - known[1]) / max(row.percent - known[0], 1)
-                    self._paces[key] = max(self._paces.get(key, 0.0), pace)
-        self._progress = kept
-        self._paces = {key: one for key, one in self._paces.items() if key in kept}
-        newly &= not self._has_stalled
-        self._has_stalled = any(self._is_stalled(key, now_s) for key in kept)
-        return newly
-
-    def _is_stalled(self, key: RunKey, now_s: float) -> bool:
-        known = self._progress.get(key)
-        if known is None:
-            return False
-        pace = self._paces.get(key)
-        limit_s = MAX_STALL_S if pace is None else STALL_FACTOR * pace
-        limit_s = min(max(limit_s, MIN_STALL_S), MAX_STALL_S)
-        return now_s - known[1] >= limit_s
-
     def _lost(self, why: str) -> None:
         decision("upstream_gone", upstream=str(self.key), why=why)
         self.gone = True
         self._on_change()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
-
-def _run_key(row: RunRow) -> RunKey:
-    return row.task, row.run
-
-
-def _progress_differs(old: Iterable[RunRow], new: Iterable[RunRow]) -> bool:
-    """Tell whether tasks have saved anew or come further by a good part."""
-    known = {_run_key(row): row for row in old}
-    for row in new:
-        before = known.get(_run_key(row))
-        if before is None:
-            continue
-        if row.saved != before.saved:
-            return True
-        if row.percent - before.percent >= REPORTED_PERCENT:
-            return True
-    return False
-
 
 def _essence(check_in: CheckIn) -> tuple[object, ...]:
     """Return what of a check-in the planner acts on."""
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -5,7 +5,7 @@
 import asyncio
 from contextlib import AsyncExitStack
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, Any, Self
+from typing import TYPE_CHECKING, Self
 
 from ...clock import boottime_s
 from ...logs import decision
@@ -18,7 +18,7 @@
     VmOrders,
     VmReport,
 )
-from ...tasks import cancel_all
+from ...tasks import TaskSet
 from ...transport.frame import FrameCodec
 from ...transport.link import LinkHub
 from ..identity import new_incarnation
@@ -27,7 +27,7 @@
 from .session import UpstreamSession
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable
 
     from ...ports.store import StorePort
     from ...ports.upstream import CheckIn, UpstreamPort
@@ -86,7 +86,7 @@
         metrics.watch("upstreams", lambda: len(self._sessions))
         metrics.watch("lease_left_seconds", lambda: self._authority.lease_left_s)
         self._stack = AsyncExitStack()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = TaskSet()
 
     async def __aenter__(self) -> Self:
         codec = FrameCodec(self._cluster_key, self.vm, new_incarnation())
@@ -94,11 +94,11 @@
             LinkHub(codec, self._receive, self.metrics)
         )
         for work in (self._members.run(), self._report_loop()):
-            self._spawn(work)
+            self._tasks.spawn(work)
         return self
 
     async def __aexit__(self, *_exc_info: object) -> None:
-        await cancel_all(self._tasks)
+        await self._tasks.close()
         for session in self._sessions.values():
             await session.close()
         await self._stack.aclose()
@@ -144,7 +144,7 @@
         session.gone = True
         self._gone.append(key)
         del self._gone[:-8]
-        self._spawn(session.close())
+        self._tasks.spawn(session.close())
         self._changed()
 
     def _changed(self) -> None:
@@ -225,7 +225,7 @@
                 await asyncio.wait_for(self._news.wait(), HEARTBEAT_INTERVAL_S)
             except TimeoutError:
                 pass
-            if any(one.has_new_progress for one in self._sessions.values()):
+            if any(one.progress.is_news for one in self._sessions.values()):
                 self._changed()
             changed = self._news.is_set()
             self._news.clear()
@@ -249,7 +249,6 @@
                 self.vm,
                 boottime_s(),
                 self._number,
-                *self._orders,
                 [session.report() for session in self._sessions.values()],
                 [str(key) for key in self._gone],
             )
@@ -261,7 +260,7 @@
             await self._hub.send(self._planner, message)
             return
         for name in self._members.urls:
-            self._spawn(self._hub.send(name, message))
+            self._tasks.spawn(self._hub.send(name, message))
 
     # Entries
 
@@ -271,10 +270,5 @@
         if not self._planner:
             self._news.set()
 
-    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 __all__ = ["VmAgent"]
--- a/src/hyssoprill/ports/upstream.py
+++ b/src/hyssoprill/ports/upstream.py
@@ -61,7 +61,6 @@
 
     accepted: bool
     reason: str
-    clock_ms: int = 0
 
 
 class UpstreamPort(Protocol):
@@ -86,7 +85,7 @@
         self,
         *,
         term: int,
-        acked_upto: int,
+        stored_upto: int,
         lease_until_ms: int | None,
         wait_s: float,
         timeout_s: float,
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -80,14 +80,12 @@
     vm: str
     tick_s: float
     number: int
-    term: int
-    orders: int
     upstreams: list[UpstreamReport]
     gone: list[str]
 
 
 class VmHeartbeat(Message):
-    """Says that a report still holds and which orders are in force."""
+    """Says that a report still holds, and the newest orders by term and number."""
 
     vm: str
     tick_s: float
@@ -112,14 +110,14 @@
     ----------
     stopping : list of tuple
         Runs that are to end and whose end is not stored yet.
-    acked_upto : int
+    stored_upto : int
         Ends up to this number are stored.
     """
 
     key: str
     runs: list[RunOrder]
     stopping: list[tuple[str, int]]
-    acked_upto: int
+    stored_upto: int
 
 
 class VmOrders(Message):
--- a/src/hyssoprill/tasks.py
+++ b/src/hyssoprill/tasks.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Coroutine, Iterable
 
 CANCEL_INTERVAL_S = 0.2
 
@@ -24,4 +24,22 @@
         _, left = await asyncio.wait(left, timeout=CANCEL_INTERVAL_S)
 
 
-__all__ = ["cancel_all"]
+class TaskSet:
+    """Background tasks that end together with their owner."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a coroutine in the background."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def close(self) -> None:
+        """End all tasks."""
+        await cancel_all(self._tasks)
+
+
+__all__ = ["TaskSet", "cancel_all"]
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -121,7 +121,7 @@
             draining=self.draining,
         )
         self.entry.planner.reported(
-            VmReport(self.vm, 1.0, self.number, 0, 0, [upstream], list(self.gone))
+            VmReport(self.vm, 1.0, self.number, [upstream], list(self.gone))
         )
 
     def heartbeat(self) -> None:
--- a/tests/coordination/planner/test_fleet.py
+++ b/tests/coordination/planner/test_fleet.py
@@ -27,7 +27,7 @@
 
 def report(fleet: Fleet, *keys: str, gone: tuple[str, ...] = (), **fields) -> None:
     upstreams = [UpstreamReport(key, "g", "z", True, **fields) for key in keys]
-    vm = fleet.reported(VmReport("vm-1", 1.0, 1, 0, 0, upstreams, list(gone)))
+    vm = fleet.reported(VmReport("vm-1", 1.0, 1, upstreams, list(gone)))
     vm.granted_s = vm.heard_s
 
 
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -49,7 +49,7 @@
         await world.until(entry.ordered_runs)
         vm.end(f"{NAME}.0.0.0", 1, "done")
         await world.until(lambda: status(entry) == "completed")
-        await world.until(lambda: entry.orders("vm-1")[vm.key].acked_upto == 1)
+        await world.until(lambda: entry.orders("vm-1")[vm.key].stored_upto == 1)
 
     play(scenario)
 
@@ -62,9 +62,9 @@
         world.store.down = True
         vm.end(f"{NAME}.0.0.0", 1, "done")
         await asyncio.sleep(0.3)
-        assert entry.orders("vm-1")[vm.key].acked_upto == 0
+        assert entry.orders("vm-1")[vm.key].stored_upto == 0
         world.store.down = False
-        await world.until(lambda: entry.orders("vm-1")[vm.key].acked_upto == 1)
+        await world.until(lambda: entry.orders("vm-1")[vm.key].stored_upto == 1)
 
     play(scenario)
 
--- a/tests/coordination/planner/test_run_machine.py
+++ b/tests/coordination/planner/test_run_machine.py
@@ -226,7 +226,7 @@
             closed,
         )
         self.entries[number].planner.reported(
-            VmReport(vm, 1.0, self.numbers[vm], 0, 0, [listed], [])
+            VmReport(vm, 1.0, self.numbers[vm], [listed], [])
         )
 
     def _stopping(self, vm: str) -> set[tuple[str, int]]:
@@ -270,7 +270,7 @@
                 if (task, number) not in wanted:
                     upstream.stop(message.term, task, number)
             upstream.ended = [
-                row for row in upstream.ended if row.number > one.acked_upto
+                row for row in upstream.ended if row.number > one.stored_upto
             ]
 
     @rule(data=st.data())
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -49,7 +49,7 @@
         self.running.pop((task, run), None)
         return True
 
-    async def hold(self, *, term, acked_upto, lease_until_ms, wait_s, timeout_s):
+    async def hold(self, *, term, stored_upto, lease_until_ms, wait_s, timeout_s):
         self.leases.append(lease_until_ms)
         await asyncio.sleep(min(wait_s, 0.05))
         rows = tuple(RunRow(task, run, "", 0) for task, run in self.running)
