--- a/standins/job_cluster.py
+++ b/standins/job_cluster.py
@@ -67,6 +67,7 @@
         self.fronts: dict[str, int] = {}
         self.ready_ports: dict[str, int] = {}
         self.workers: dict[str, int] = {}
+        self.controls: dict[str, int] = {}
 
     def __enter__(self) -> Self:
         return self
@@ -107,6 +108,7 @@
         """Start a worker and its agent."""
         worker, control = free_port(), free_port()
         self.workers[name] = worker
+        self.controls[name] = control
         self._start_role(
             name,
             {
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -26,6 +26,18 @@
         yield cluster
 
 
+@pytest.fixture(scope="module")
+def jobs_of_module() -> Iterator[JobCluster]:
+    """Return an entry pair and a VM that several tests share."""
+    with JobCluster() as cluster:
+        cluster.start_store()
+        for name in ("entry-1", "entry-2"):
+            cluster.start_entry(name)
+        cluster.start_vm("vm-1")
+        cluster.wait_ready()
+        yield cluster
+
+
 @pytest.fixture(scope="module")
 def shared_jobs() -> Iterator[JobCluster]:
     """Return two entries without VMs, for calls that start nothing."""
--- a/tests/platform/test_job_path.py
+++ b/tests/platform/test_job_path.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from standins.job_cluster import PREFIX, config
+from standins.job_cluster import PREFIX, config, request
 
 
 def job_id(number: int) -> str:
@@ -181,6 +181,36 @@
     assert shared_jobs.state("entry-1", job_id(9)) == "410"
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"not json",
+        b"[]",
+        b"{}",
+        b'{"service": 5, "address": "127.0.0.1:1", "state": "ready"}',
+        b'{"service": "s", "address": "127.0.0.1:1", "state": "asleep"}',
+        b'{"service": "s", "address": "127.0.0.1:1", "state": "ready", "seq": "x"}',
+        b"\xff\xfe",
+    ],
+)
+def test_malformed_check_ins_name_no_upstream_and_harm_no_other(jobs_of_module, body):
+    port = jobs_of_module.controls["vm-1"]
+    assert request(port, "PUT", "/instances/i-foreign", body)[0] == 400
+    found = [
+        line["upstream"]
+        for line in jobs_of_module.log_lines("vm-1")
+        if line["event"] == "upstream_found"
+    ]
+    assert not any("i-foreign" in one for one in found)
+
+
+def test_upstreams_serve_after_malformed_check_ins_and_records(jobs_of_module):
+    jobs_of_module.put("evacuate/", "not a zone")
+    jobs_of_module.put("unknown/key", [1, 2])
+    assert jobs_of_module.submit("entry-1", job_id(77)) == 200
+    wait_state(jobs_of_module, "entry-2", job_id(77), "completed")
+
+
 def test_settings_with_a_fault_are_refused_and_the_old_ones_stay(shared_jobs):
     path = shared_jobs.settings_path("entry-1")
     good = path.read_bytes()
