Reckon an upstream's clock on by one that a suspension stops

Cause: found in reading: an agent that was suspended added the time of its suspension to the upstream's clock, which may not have counted it, and so asked for a lease that could outlast what the planner reckons with. Change: the monotonic clock, which suspension stops, reckons the upstream's clock on. test_lease_after_a_suspension_is_not_too_long failed first.

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING, Any
 
 from ...clock import boottime_s
@@ -292,8 +293,12 @@
         return self._lease_ends_s > 0 and boottime_s() > self._lease_ends_s
 
     def _lease_until_ms(self) -> int:
-        """Return the end of the lease on the upstream's clock."""
-        now_ms = self._clock_ms + (boottime_s() - self._clock_read_s) * 1000
+        """Return the end of the lease on the upstream's clock.
+
+        That clock is reckoned on by one that a suspension stops, so that a suspended
+        VM asks for too short a lease rather than too long a one.
+        """
+        now_ms = self._clock_ms + (time.monotonic() - self._clock_read_s) * 1000
         lease_s = min(self._max_lease_s, self._authority.lease_left_s)
         return int(now_ms + lease_s * 1000)
 
@@ -303,7 +308,7 @@
             self._lost("its list names another start")
             return
         before = self._listing
-        self._clock_ms, self._clock_read_s = listing.clock_ms, boottime_s()
+        self._clock_ms, self._clock_read_s = listing.clock_ms, time.monotonic()
         self._listing = listing
         newly_stalled = self.progress.note(listing)
         present = {run_key(row) for row in listing.running}
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -5,6 +5,8 @@
 
 from standins.job_store import MemoryStore
 
+from hyssoprill.clock import boottime_s
+from hyssoprill.coordination.upstream import session as session_module
 from hyssoprill.coordination.upstream.vm_agent import VmAgent
 from hyssoprill.ports.store import Record
 from hyssoprill.ports.upstream import CheckIn, Listing, StartAnswer
@@ -246,6 +248,18 @@
     play(scenario)
 
 
+def test_lease_after_a_suspension_is_not_too_long(monkeypatch):
+    async def scenario(world, agent):
+        await ready(world, agent)
+        await world.until(lambda: any(world.upstream.leases))
+        session = next(iter(agent._sessions.values()))
+        usual_ms = session._lease_until_ms()
+        monkeypatch.setattr(session_module, "boottime_s", lambda: boottime_s() + 50.0)
+        assert session._lease_until_ms() - usual_ms < 500
+
+    play(scenario)
+
+
 def test_agent_finds_the_planner_beside_dead_entries_at_once():
     async def scenario(world, agent):
         for name in ("entry-0", "entry-2"):
