--- a/src/hyssoprill/errors.py
+++ b/src/hyssoprill/errors.py
@@ -50,6 +50,13 @@
     http_status = 400
 
 
+class UnservedError(HyssoprillError):
+    """A request asks for something that is not served here; it was not accepted."""
+
+    code = "not_served"
+    http_status = 503
+
+
 class AccessError(HyssoprillError):
     """A token, key or signature is missing or wrong."""
 
@@ -159,6 +166,7 @@
     "StoreInDoubtError",
     "StoreMovedError",
     "StoreRefusedError",
+    "UnservedError",
     "UpstreamError",
     "UpstreamGoneError",
     "UpstreamSilentError",
