Give test clusters ports that nothing else takes, and wait for agents to listen

Tests only; no fault of the product. Change: ports below the ephemeral range, one range for each test process; wait_ready waits for check-in addresses; a time-out names the processes that ended. No check changed.

--- a/standins/job_cluster.py
+++ b/standins/job_cluster.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -24,13 +25,29 @@
 HOST = "jobs.example"
 PREFIX = "/quotes/"
 READY_TIMEOUT_S = 20.0
+FIRST_PORT = 10_000
+PORTS_OF_A_PROCESS = 2_750
+PROCESSES = 8
+"""Test processes that run side by side take their ports from ranges of their own."""
+
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port of the loopback address that is free now.
+
+    It lies below those that the system gives to outgoing connections, which would
+    take it before the process that it is for has bound it.
+    """
+    first = FIRST_PORT + os.getpid() % PROCESSES * PORTS_OF_A_PROCESS
+    while True:
+        port = random.randrange(first, first + PORTS_OF_A_PROCESS)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 def config(version: int = 1, **fields: Any) -> dict[str, Any]:
@@ -246,14 +263,25 @@
                 if value:
                     return value
             time.sleep(0.02)
-        raise TimeoutError("the condition did not come to hold")
+        raise TimeoutError(f"the condition did not come to hold; {self._ended()}")
+
+    def _ended(self) -> str:
+        """Return which processes have ended, with the last line that each wrote."""
+        found = []
+        for name, process in self._processes.items():
+            if process.poll() is not None:
+                log = (Path(self._folder.name) / f"{name}.log").read_text()
+                found.append(f"{name} ended: {log.strip().rpartition(chr(10))[2]}")
+        return "; ".join(found) or "all processes run"
 
     def wait_ready(self) -> None:
-        """Wait until all entries are ready."""
+        """Wait until all entries are ready and all agents take check-ins."""
         for port in self.ready_ports.values():
             self.wait_until(
                 lambda port=port: request(port, "GET", "/ready", b"")[0] == 200
             )
+        for port in self.controls.values():
+            self.wait_until(lambda port=port: request(port, "GET", "/", b"")[0] == 404)
 
 
 def request(
