Make one of each: batch limit, core weight, covered jobs of a round

Cause: last reading: the limit of an append stood twice, the weight of accelerators was reckoned in two places, the guaranteed jobs were found twice in each round, a lifetime's time was noted twice under one key, and Changes had a truth value that nobody asked. Change: MAX_BATCH_BYTES in ports/store.py, core_weight in policy/dispatch/view.py, Survey finds covered jobs once.

--- a/src/hyssoprill/coordination/intake/entry.py
+++ b/src/hyssoprill/coordination/intake/entry.py
@@ -50,8 +50,12 @@
 
     Parameters
     ----------
-    name, link_url : str
-        This entry, and where it listens for agents.
+    name, address : str
+        This entry, and where it listens for agents on `link_port`.
+    cluster_key : str
+        Seals the links.
+    store : StorePort
+        Keeps all that must last.
     build : callable
         Makes the operator's view from his records.
     bounds : JobBounds
--- a/src/hyssoprill/coordination/intake/intake.py
+++ b/src/hyssoprill/coordination/intake/intake.py
@@ -10,7 +10,7 @@
 from ...clock import boottime_s
 from ...errors import StoreError, StoreInDoubtError, StoreRefusedError
 from ...logs import decision
-from ...ports.store import Record
+from ...ports.store import MAX_BATCH_BYTES, Record
 from ...state.ledger import CANCEL_PREFIX, JOB_PREFIX
 
 if TYPE_CHECKING:
@@ -20,8 +20,6 @@
     from ..planner.replica import Replica
     from .relay import Relay
 
-MAX_BATCH_BYTES = 1_000_000
-"""Most bytes of accepted jobs in one append, half of what the store takes at once."""
 DOUBT_KEPT_S = 20.0
 """Appends without an answer may be carried out until then; above the 12 s in which
 PROTOCOL, "Running tasks", has late calls carried out."""
--- a/src/hyssoprill/coordination/planner/changes.py
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -8,16 +8,13 @@
 from msgspec.structs import replace
 
 from ...clock import unix_ms
-from ...ports.store import Record
+from ...ports.store import MAX_BATCH_BYTES, Record
 from ...state.ledger import DONE, FAILED, OPEN, WAITING, StepState, TaskState
 
 if TYPE_CHECKING:
     from ...protocol.job import Step
     from ...state.ledger import Ledger, StepKey
 
-MAX_BATCH_BYTES = 1_000_000
-"""Most bytes of one append, half of what the store takes at once."""
-
 _encoder = msgspec.json.Encoder()
 
 
@@ -34,9 +31,6 @@
         self._ledger = ledger
         self._tasks: dict[StepKey, list[TaskState]] = {}
 
-    def __bool__(self) -> bool:
-        return bool(self._tasks)
-
     def batches(self) -> list[list[Record]]:
         """Return the records to append, as many in one call as the store takes."""
         batches: list[list[Record]] = []
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -73,9 +73,7 @@
         self._first_report_s = min(self._first_report_s, boottime_s())
         vm.number = report.number
         vm.reported_s = vm.heard_s
-        for key, old in vm.upstreams.items():
-            self._held_s[old.key] = boottime_s()
-            self._held_s[key] = boottime_s()
+        self._held_s.update(dict.fromkeys(vm.upstreams, vm.heard_s))
         vm.upstreams = {one.key: one for one in report.upstreams}
         vm.gone = frozenset(report.gone)
         return vm
--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ...clock import boottime_s
@@ -11,10 +11,10 @@
 from ...state.ledger import OPEN, WAITING, StepKey
 from ..policy.dispatch.leaving import time_left_s
 from ..policy.dispatch.view import (
-    ACCELERATOR_CORES,
     RunningUnit,
     UpstreamView,
     WaitingStep,
+    core_weight,
 )
 from .runs import ran_s
 from .suspicion import EXCLUDE_MARKS
@@ -44,6 +44,10 @@
     stopping: StopNotes
     suspicion: Suspicion
     waiting_since_s: dict[StepKey, float]
+    _claims: set[str] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._claims = self._covered_jobs()
 
     def upstreams(self) -> list[UpstreamView]:
         """Return the upstreams that may get starts.
@@ -89,7 +93,6 @@
         """Return the steps with tasks that wait for a place."""
         now_s = boottime_s()
         found = []
-        claims = self._claims()
         for entry in self.ledger.active.values():
             if entry.is_over:
                 continue
@@ -112,7 +115,7 @@
                         _placed(state),
                         now_s - since_s,
                         _slack_s(entry, occurrence, now_ms),
-                        within_guarantee=entry.job.id in claims,
+                        within_guarantee=entry.job.id in self._claims,
                         avoid=self.suspicion.failed_on(entry.job.id),
                         shun=self.suspicion.failed_on(
                             entry.job.id, least=SHUN_FAILURES
@@ -124,13 +127,12 @@
 
     def units(self) -> list[RunningUnit]:
         """Return what runs and is not being stopped."""
-        claims = self._claims()
         units = []
         for entry in self.ledger.active.values():
             for (occurrence, number), state in entry.steps.items():
                 key = StepKey(entry.job.id, occurrence, number)
                 step = entry.job.steps[number]
-                units += self._units_of(entry, key, step, state, claims)
+                units += self._units_of(entry, key, step, state)
         return units
 
     def _units_of(
@@ -139,7 +141,6 @@
         key: StepKey,
         step: Step,
         state: StepState,
-        claims: set[str],
     ) -> list[RunningUnit]:
         indices = [
             index for index, task in enumerate(state.tasks) if task.phase == OPEN
@@ -151,8 +152,6 @@
             if not runs or any(run in self.stopping for run in runs):
                 continue
             pairs = list(zip(group, runs, strict=True))
-            cores = step.need.millicores / 1000
-            cores += ACCELERATOR_CORES * step.need.accelerators
             longest_s = max(ran_s(state.tasks[index]) for index in group)
             lost_s = 0.0 if step.checkpoints else longest_s
             units.append(
@@ -163,8 +162,8 @@
                     step.need,
                     entry.job.priority,
                     entry.job.workspace,
-                    lost_s * cores * len(group),
-                    entry.job.id in claims,
+                    lost_s * core_weight(step.need) * len(group),
+                    entry.job.id in self._claims,
                     max(self._left_s(step, state, i, run) for i, run in pairs),
                 )
             )
@@ -178,7 +177,7 @@
         percent = self.fleet.percent(task.upstream, *run)
         return time_left_s(step, ran_s(task), percent)
 
-    def _claims(self) -> set[str]:
+    def _covered_jobs(self) -> set[str]:
         """Return the urgent jobs that their workspaces' guarantees cover."""
         needs: dict[str, list[tuple[int, str, int]]] = defaultdict(list)
         for entry in self.ledger.active.values():
--- a/src/hyssoprill/coordination/policy/dispatch/view.py
+++ b/src/hyssoprill/coordination/policy/dispatch/view.py
@@ -15,6 +15,11 @@
 """Cores that an accelerator counts as where work is weighed; from RULES, "Prices"."""
 
 
+def core_weight(need: Amounts) -> float:
+    """Return the cores that a need counts as, accelerators included."""
+    return need.millicores / 1000 + ACCELERATOR_CORES * need.accelerators
+
+
 @dataclass(slots=True)
 class UpstreamView:
     """An upstream that may get starts.
@@ -107,8 +112,7 @@
     @property
     def work(self) -> float:
         """Core seconds that its waiting tasks are estimated to take."""
-        need = self.step.need
-        cores = need.millicores / 1000 + ACCELERATOR_CORES * need.accelerators
+        cores = core_weight(self.step.need)
         return cores * self.step.estimate_ms / 1000 * len(self.indices)
 
 
@@ -141,4 +145,5 @@
     "RunningUnit",
     "UpstreamView",
     "WaitingStep",
+    "core_weight",
 ]
--- a/src/hyssoprill/ports/store.py
+++ b/src/hyssoprill/ports/store.py
@@ -14,6 +14,9 @@
 
 Topic = Literal["jobs", "members", "operator"]
 
+MAX_BATCH_BYTES = 1_000_000
+"""Most bytes of records in one append, half of what the store takes at once."""
+
 
 @dataclass(frozen=True, slots=True)
 class Record:
@@ -107,4 +110,12 @@
         ...
 
 
-__all__ = ["Page", "Record", "StorePort", "StoredRecord", "Topic", "Writer"]
+__all__ = [
+    "MAX_BATCH_BYTES",
+    "Page",
+    "Record",
+    "StorePort",
+    "StoredRecord",
+    "Topic",
+    "Writer",
+]
