Let time pass and leases lapse in the state machine on runs; let all jobs end

Change: simulated time, grants and lapses, priorities and guarantees so that runs are stopped for room, small pages, rounds in series, and at the end all jobs have to end.

--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -66,13 +66,14 @@
         """Drop all but the newest record of each key."""
         self.records.clear()
 
-    def read(self, offset: int) -> Page:
-        """Return the records from an offset on."""
+    def read(self, offset: int, most: int | None = None) -> Page:
+        """Return the records from an offset on, up to `most`."""
         first = self.records[0].offset if self.records else self.end
         if offset < first:
             raise StoreHistoryLostError("forgotten")
-        found = tuple(one for one in self.records if one.offset >= offset)
-        return Page(found, self.end, self.end)
+        found = tuple(one for one in self.records if one.offset >= offset)[:most]
+        following = found[-1].offset + 1 if found else self.end
+        return Page(found, following, self.end)
 
     def newest_page(self) -> Page:
         """Return the newest record of each key that was not dropped."""
@@ -91,6 +92,8 @@
         So many of the next appends are carried out and not answered.
     late_appends : list
         Where not None, appends are not carried out but kept here.
+    page_records : int or None
+        Most records of one read.
     """
 
     def __init__(self) -> None:
@@ -98,6 +101,7 @@
         self.down = False
         self.lost_answers = 0
         self.late_appends: list[tuple[str, tuple[Record, ...]]] | None = None
+        self.page_records: int | None = None
         self.writes = 0
         self._news = asyncio.Event()
 
@@ -134,7 +138,7 @@
         while True:
             await asyncio.sleep(0)
             self._refuse_if_down()
-            page = self.topic(topic).read(offset)
+            page = self.topic(topic).read(offset, self.page_records)
             left = deadline - loop.time()
             if page.records or left <= 0:
                 return page
--- a/tests/coordination/planner/test_run_machine.py
+++ b/tests/coordination/planner/test_run_machine.py
@@ -14,26 +14,46 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from standins.job_store import MemoryStore
 
+from hyssoprill.clock import simulated_time
 from hyssoprill.coordination.planner import fleet, planner, term
 from hyssoprill.coordination.planner.planner import Planner
 from hyssoprill.coordination.planner.replica import Replica
 from hyssoprill.coordination.planner.term import TermKeeper
+from hyssoprill.coordination.upstream.authority import (
+    CLOCK_RATE_ERROR,
+    MAX_ORDER_AGE_S,
+    RENEWAL_WITHOUT_PLANNER_S,
+)
 from hyssoprill.errors import StoreError
 from hyssoprill.job_settings import JobBounds
 from hyssoprill.ports.store import Record
 from hyssoprill.protocol.job import Amounts, Job, Step
 from hyssoprill.protocol.upstream_messages import (
     EndRow,
+    Grant,
     UpstreamReport,
     VmOrders,
     VmReport,
 )
-from hyssoprill.state.directory import Directory
+from hyssoprill.state.directory import Directory, WorkspaceTerms
 from hyssoprill.state.ledger import CANCEL_PREFIX, JOB_PREFIX
 
 VMS = ["vm-0", "vm-1", "vm-2"]
 CAPACITY = Amounts(4, 4000, 4000)
 MAX_ATTEMPTS = 2
+DIRECTORY = Directory(version=1, workspaces=(WorkspaceTerms("w", frozenset(), 6),))
+MAX_SETTLING_TURNS = 80
+
+
+@dataclass(frozen=True)
+class LateStart:
+    """A start that is carried out some time after it was sent, before its deadline."""
+
+    upstream: ModelUpstream
+    term: int
+    task: str
+    run: int
+    deadline_s: float
 
 
 @dataclass
@@ -48,6 +68,8 @@
     ended: list[EndRow] = field(default_factory=list)
     number: int = 0
     stopped: set[tuple[str, int]] = field(default_factory=set)
+    lease_s: float = 0.0
+    void_upto: int = 0
 
     @property
     def key(self) -> str:
@@ -71,6 +93,16 @@
         self.highest[task] = max(self.highest.get(task, 0), run)
         self.stopped.add((task, run))
 
+    def lapse(self, now_s: float) -> list[EndRow]:
+        """End runs without a lease; return ends that were not stored before it."""
+        if now_s <= self.lease_s:
+            return []
+        void = [row for row in self.ended if row.number > self.void_upto]
+        for task in list(self.running):
+            self.end(task, "lapsed")
+        self.void_upto = self.number
+        return void
+
     def end(self, task: str, how: str) -> None:
         self.number += 1
         run = self.running.pop(task)
@@ -97,12 +129,16 @@
         ):
             self.patches.enter_context(patch.object(module, name, value))
         self.runner = asyncio.Runner()
+        self.now_s = 1000.0
+        self.patches.enter_context(simulated_time(lambda: self.now_s))
         self.store = MemoryStore()
+        self.store.page_records = 2
         self.sent: dict[str, list[VmOrders]] = defaultdict(list)
         self.entries = [self._entry(f"entry-{n}") for n in range(2)]
         self.upstreams = {vm: ModelUpstream(vm, 1) for vm in VMS}
         self.orders: dict[str, VmOrders] = {}
-        self.late: list[tuple[ModelUpstream, int, str, int]] = []
+        self.late: list[LateStart] = []
+        self.granted_s: dict[str, float] = {}
         self.jobs: dict[str, Job] = {}
         self.cancelled_at: dict[str, int] = {}
         self.failures: dict[str, int] = defaultdict(int)
@@ -110,20 +146,45 @@
         self.numbers: dict[str, int] = defaultdict(int)
         self.born = 1
         self.claim(0)
-        self.submit(3, False, 2, 2)
+        self.submit(3, False, 2, 2, 1)
 
     def teardown(self) -> None:
-        if hasattr(self, "runner"):
+        if not hasattr(self, "runner"):
+            return
+        try:
+            self._settle()
+        finally:
             self.runner.close()
             self.patches.close()
 
+    def _settle(self) -> None:
+        """Without further trouble, all jobs end."""
+        self.late.clear()
+        if not any(entry.planner._is_in_term() for entry in self.entries):
+            self.claim(0)
+        for _turn in range(MAX_SETTLING_TURNS):
+            self.pass_time(0.5)
+            for number in range(2):
+                for _read in range(10):
+                    self.runner.run(self.entries[number].replica.read_once(0.0))
+                self._turn(number, True, False, set(), False)
+            self.one_run_of_each_task()
+            self.room_of_each_upstream()
+            for vm in VMS:
+                self.end(vm, "done")
+            jobs = self.entries[0].replica.ledger.jobs.values()
+            if len(jobs) == len(self.jobs) and all(one.is_over for one in jobs):
+                return
+        states = {one.job.id: one.status for one in jobs if not one.is_over}
+        raise AssertionError(f"jobs that never end: {states}")
+
     def _entry(self, name: str) -> ModelEntry:
         replica = Replica(self.store, lambda: None)
         keeper = TermKeeper(name, name, f"tcp://{name}", self.store, replica)
         plans = Planner(
             replica,
             keeper,
-            lambda: Directory(version=1),
+            lambda: DIRECTORY,
             self._send,
             bounds=JobBounds(key_revocation_ms=5000, stop_grace_s=6.0),
         )
@@ -132,6 +193,8 @@
     def _send(self, vm: str, message: object) -> None:
         if isinstance(message, VmOrders):
             self.sent[vm].append(message)
+        elif isinstance(message, Grant):
+            self.granted_s[vm] = message.echo_s
 
     # Callers
 
@@ -140,15 +203,27 @@
         gang=st.booleans(),
         steps=st.integers(1, 2),
         size=st.sampled_from([1, 2, 4]),
+        priority=st.integers(0, 2),
     )
-    def submit(self, count: int, gang: bool, steps: int, size: int) -> None:
+    def submit(
+        self, count: int, gang: bool, steps: int, size: int, priority: int
+    ) -> None:
         need = Amounts(size, 1, 1)
         made = tuple(
-            Step(count=count, need=need, gang=gang, after=(n - 1,) if n else ())
+            Step(
+                count=count,
+                need=need,
+                estimate_ms=4000,
+                gang=gang,
+                after=(n - 1,) if n else (),
+            )
             for n in range(steps)
         )
         name = f"{len(self.jobs):016x}"
-        job = Job(name, "q", "g", "w", 1, MAX_ATTEMPTS, 3.0, 0, 0, "", made)
+        accepted_ms = round(self.now_s * 1000)
+        job = Job(
+            name, "q", "g", "w", priority, MAX_ATTEMPTS, 3.0, 0, accepted_ms, "", made
+        )
         self.jobs[name] = job
         record = Record(JOB_PREFIX + name, msgspec.json.encode(job))
         self.runner.run(self.store.append("jobs", [record]))
@@ -171,20 +246,43 @@
 
     @rule(
         number=st.integers(0, 1),
+        times=st.sampled_from([1, 3, 14, 40]),
         reads=st.sampled_from([True, True, False]),
         lost=st.sampled_from([False, False, True]),
         silent=st.sets(st.sampled_from(VMS), max_size=2),
         late=st.sampled_from([False, False, True]),
+        ends=st.booleans(),
     )
-    def turn(
+    def turns(
+        self,
+        number: int,
+        times: int,
+        reads: bool,
+        lost: bool,
+        silent: set[str],
+        late: bool,
+        ends: bool,
+    ) -> None:
+        """Have rounds at an entry and pass its orders on; some VMs are cut off."""
+        for position in range(times):
+            self.pass_time(0.3)
+            self._turn(number, reads, lost and not position, silent, late)
+            self.one_run_of_each_task()
+            self.room_of_each_upstream()
+            if ends:
+                self.end(VMS[position % len(VMS)], "done")
+
+    def _turn(
         self, number: int, reads: bool, lost: bool, silent: set[str], late: bool
     ) -> None:
-        """Have a round at an entry, and pass its orders on; some VMs are cut off."""
         entry = self.entries[number]
         self.store.lost_answers = 1 if lost else 0
         if reads:
-            self.runner.run(entry.replica.read_once(0.0))
+            for _page in range(4):
+                self.runner.run(entry.replica.read_once(0.0))
         if entry.planner._is_in_term():
+            if reads:
+                self._renew(entry)
             heard = [vm for vm in VMS if vm not in silent]
             for vm in heard:
                 self._report(vm, number)
@@ -196,6 +294,26 @@
                 self.deliver(vm, 0, late)
         self.store.lost_answers = 0
 
+    def _renew(self, entry: ModelEntry) -> None:
+        try:
+            self.runner.run(entry.keeper._renew())
+        except StoreError:
+            pass
+
+    @rule(seconds=st.sampled_from([0.2, 1.0, 3.0, 11.0]))
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass; runs end where no lease is left."""
+        self.now_s += seconds
+        for upstream in self.upstreams.values():
+            self._forget_ends(upstream.lapse(self.now_s))
+
+    def _forget_ends(self, rows: list[EndRow]) -> None:
+        """Count ends as unknown that a lapse or a crash came before the storing of."""
+        for row in rows:
+            self.done.discard(row.task)
+            if row.how == "failed" and self.failures[row.task]:
+                self.failures[row.task] -= 1
+
     @rule(number=st.integers(0, 1))
     def restart_entry(self, number: int) -> None:
         self.entries[number] = self._entry(f"entry-{number}")
@@ -226,8 +344,11 @@
             closed,
         )
         self.entries[number].planner.reported(
-            VmReport(vm, 1.0, self.numbers[vm], [listed], [])
+            VmReport(vm, self.now_s, self.numbers[vm], [listed], [])
         )
+        if self.granted_s.get(vm) == self.now_s:
+            lease_s = RENEWAL_WITHOUT_PLANNER_S * (1 + CLOCK_RATE_ERROR)
+            upstream.lease_s = max(upstream.lease_s, self.now_s + lease_s)
 
     def _stopping(self, vm: str) -> set[tuple[str, int]]:
         orders = self.orders.get(vm)
@@ -255,14 +376,18 @@
             return
         self.orders[vm] = message
         upstream = self.upstreams[vm]
+        may_start = self.now_s - message.echo_s < MAX_ORDER_AGE_S
         for one in message.upstreams:
             if one.key != upstream.key:
                 continue
-            for run in one.runs:
+            for run in one.runs if may_start else ():
+                start = LateStart(
+                    upstream, message.term, run.task, run.run, upstream.lease_s
+                )
                 if late:
-                    self.late.append((upstream, message.term, run.task, run.run))
+                    self.late.append(start)
                 else:
-                    self._start(upstream, message.term, run.task, run.run)
+                    self._start(start)
             for task, number in one.stopping:
                 upstream.stop(message.term, task, number)
             wanted = {(run.task, run.run) for run in one.runs}
@@ -277,12 +402,15 @@
     def carry_out_late(self, data: st.DataObject) -> None:
         if self.late:
             position = data.draw(st.integers(0, len(self.late) - 1))
-            upstream, under, task, run = self.late.pop(position)
-            if self.upstreams[upstream.vm] is upstream:
-                self._start(upstream, under, task, run)
+            start = self.late.pop(position)
+            if self.upstreams[start.upstream.vm] is start.upstream:
+                self._start(start)
 
-    def _start(self, upstream: ModelUpstream, under: int, task: str, run: int) -> None:
-        if not upstream.start(under, task, run):
+    def _start(self, start: LateStart) -> None:
+        task = start.task
+        if self.now_s > start.deadline_s:
+            return
+        if not start.upstream.start(start.term, task, start.run):
             return
         assert task not in self.done, "a task that is done starts again"
         assert self.failures[task] < MAX_ATTEMPTS, "one attempt too many"
@@ -310,10 +438,9 @@
     def crash(self, vm: str) -> None:
         """End a lifetime with everything on it, also ends that were not told."""
         upstream = self.upstreams[vm]
-        for row in upstream.ended:
-            self.done.discard(row.task)
-            if row.how == "failed" and self.failures[row.task]:
-                self.failures[row.task] -= 1
+        self._forget_ends(
+            [one for one in upstream.ended if one.number > upstream.void_upto]
+        )
         self.born += 1
         self.upstreams[vm] = ModelUpstream(vm, self.born)
 
