Leave a part of the upstreams clear of long work while it has time left

Change: sparing.py: a step that is not urgent, cannot save and has time left leaves 0.3 of its group's upstreams clear; wide ones run in waves. Urgent work no longer marks an upstream as holding work that is dear to stop, as it is never stopped for others. Failing first: test_wide_long_step_leaves_upstreams_clear_for_urgent_jobs.

--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -77,7 +77,7 @@
             if (task, run.run) in self.stopping:
                 leaving = leaving.plus(step.need)
             else:
-                dear |= not step.checkpoints
+                dear |= not step.checkpoints and self._priority(run.step) > 0
         return UpstreamView(
             report.key,
             report.zone,
@@ -197,6 +197,9 @@
                     covered.add(job_id)
         return covered
 
+    def _priority(self, key: StepKey) -> int:
+        return self.ledger.jobs[key.job_id].job.priority
+
     def _step(self, key: StepKey) -> Step:
         return self.ledger.jobs[key.job_id].job.steps[key.step]
 
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -8,6 +8,7 @@
 from .placing import free, place_each, place_gang, soon_free, take, usable
 from .preempting import STOP_COST, make_room
 from .ranking import rank
+from .sparing import spare_clear
 from .view import Placement, Plan
 
 if TYPE_CHECKING:
@@ -59,7 +60,7 @@
     plan = Plan()
     held = 0
     for step in sorted(waiting, key=rank):
-        candidates = _eligible(step, upstreams)
+        candidates = spare_clear(step, _eligible(step, upstreams), upstreams)
         if not candidates or _start_now(step, candidates, plan):
             continue
         stopped = _preempt(step, candidates, units, reclaim_s)
@@ -146,7 +147,7 @@
     if step.within_guarantee:
         return _reclaim(step, candidates, units, reclaim_s)
     lower = [unit for unit in units if unit.priority > step.job.priority]
-    is_urgent = step.job.priority == 0 or step.slack_s < PREEMPT_SLACK_S
+    is_urgent = step.is_urgent or step.slack_s < PREEMPT_SLACK_S
     doubt_s = step.step.estimate_ms / 1000 * ESTIMATE_DOUBT
     if not is_urgent or step.slack_s < -doubt_s:
         return None
--- a/src/hyssoprill/coordination/policy/dispatch/placing.py
+++ b/src/hyssoprill/coordination/policy/dispatch/placing.py
@@ -87,7 +87,7 @@
 def take(step: WaitingStep, upstream: UpstreamView, room: Room) -> None:
     """Account for one task of a step on an upstream."""
     need = step.step.need
-    upstream.holds_dear_work |= not step.step.checkpoints
+    upstream.holds_dear_work |= step.is_dear
     upstream.free = upstream.free.minus(need)
     if room is soon_free:
         short = [max(-amount, 0) for amount in upstream.free]
@@ -145,8 +145,6 @@
 ) -> list[UpstreamView]:
     """Spread tasks over upstreams, best ones first."""
     data_rack = step.step.data_rack
-    is_dear = not step.step.checkpoints
-    is_urgent = step.job.priority == 0
 
     def rank(
         one: UpstreamView,
@@ -156,8 +154,8 @@
             one.key in step.avoid,
             bool(data_rack) and one.rack != data_rack,
             one.penalty,
-            -round(one.speed, 1) if is_urgent else 0.0,
-            one.holds_dear_work != is_dear,
+            -round(one.speed, 1) if step.is_urgent else 0.0,
+            one.holds_dear_work != step.is_dear,
             left.accelerators,
             left.millicores,
             one.key,
--- a/src/hyssoprill/coordination/policy/dispatch/view.py
+++ b/src/hyssoprill/coordination/policy/dispatch/view.py
@@ -33,7 +33,7 @@
     penalty : int
         Upstreams with a lower penalty are preferred.
     holds_dear_work : bool
-        Whether it runs work that would be lost at a stop.
+        Whether it runs work that would be lost at a stop, and is not urgent.
     speed : float
         Against the mean of all.
     """
@@ -112,6 +112,16 @@
     shun: frozenset[str] = frozenset()
     is_last: bool = False
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether its job may stop those of other priorities at once."""
+        return self.job.priority == 0
+
+    @property
+    def is_dear(self) -> bool:
+        """Whether its work would be lost at a stop, and may be stopped for others."""
+        return not self.step.checkpoints and not self.is_urgent
+
     @property
     def work(self) -> float:
         """Core seconds that its waiting tasks are estimated to take."""
--- a/tests/coordination/policy/dispatch/test_dispatch.py
+++ b/tests/coordination/policy/dispatch/test_dispatch.py
@@ -6,6 +6,7 @@
 RECLAIM_S = 2.9
 HALF = Amounts(4, 30_000, 100_000)
 WHOLE = Amounts(8, 64_000, 262_144)
+HEAVY = Amounts(2, 26_000, 140_000)
 
 
 def plan_round(steps, upstreams, units):
@@ -254,3 +255,29 @@
     plan = plan_round(steps, world.upstreams, [])
     placed = {start.step.job_id: start.upstream for start in plan.starts}
     assert placed == {"other": "slow", "urgent": "fast"}
+
+
+def test_wide_long_step_leaves_upstreams_clear_for_urgent_jobs(world):
+    """Replays the start of a calm day: eight long tasks, each filling an upstream."""
+    for number in range(10):
+        world.upstream(f"u{number}", f"r{number // 3}")
+    wide = world.step("wide", count=9, need=HEAVY, slack_s=20.0)
+    assert len(plan_round([wide], world.upstreams, []).starts) == 7
+    urgent = world.step("urgent", count=3, need=WHOLE, priority=0, slack_s=2.5)
+    plan = plan_round([urgent], world.upstreams, [])
+    assert len(plan.starts) == 3
+    assert plan.stops == []
+
+
+def test_long_step_takes_all_upstreams_where_it_has_no_time_left(world):
+    for number in range(10):
+        world.upstream(f"u{number}")
+    wide = world.step("wide", count=10, need=HEAVY, slack_s=1.0)
+    assert len(plan_round([wide], world.upstreams, []).starts) == 10
+
+
+def test_work_that_saves_its_progress_takes_all_upstreams(world):
+    for number in range(10):
+        world.upstream(f"u{number}")
+    wide = world.step("wide", count=10, need=HEAVY, slack_s=20.0, checkpoints=True)
+    assert len(plan_round([wide], world.upstreams, []).starts) == 10
