--- a/src/hyssoprill/coordination/policy/dispatch/sparing.py
+++ b/src/hyssoprill/coordination/policy/dispatch/sparing.py
@@ -17,8 +17,8 @@
 
 CLEAR_SHARE = 0.3
 """Part of a group's upstreams that is kept clear."""
-SPARING_SLACK_SHARE = 0.5
-"""A step keeps others clear while it can wait for this part of its own run time."""
+SPARING_SLACK_SHARE = 1.0
+"""A step leaves upstreams clear while it can still wait this part of its run time."""
 
 
 def spare_clear(
