Serve filling and serving tasks and limits on missing tasks; leave lasting work alone

Cause: jobs with 'fills' or 'may_miss' were answered 503 as not there yet. Reading for it showed two faults in work that lasts: at progress 100 it counted as stalled and was stopped, and as about to end, so that a guaranteed job waited for it without end.

--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -31,6 +31,10 @@
 
 SHUN_FAILURES = 2
 """A job does not go back where so many of its runs have failed."""
+AT_WORK_PERCENT = 100
+"""A task that lasts is at work with this progress; from PROTOCOL, "Jobs"."""
+LASTING_RESTART_S = 5.0
+"""A stopped task that lasts is away for about so long: stop, place and start-up."""
 RACK_LABEL_INDEX = 1
 """Position of the rack among an upstream's labels."""
 
@@ -70,10 +74,12 @@
 
     def _view(self, report: UpstreamReport, marks: int) -> UpstreamView:
         used, leaving = NOTHING, NOTHING
-        dear = False
+        dear = serves = fills = False
         for task, run in self.ledger.open_runs.get(report.key, {}).items():
             step = self._step(run.step)
             used = used.plus(step.need)
+            serves |= step.target_ms > 0
+            fills |= step.fills
             if (task, run.run) in self.stopping:
                 leaving = leaving.plus(step.need)
             else:
@@ -90,6 +96,8 @@
             marks,
             dear,
             self.speeds.of(report.key),
+            serves,
+            fills,
         )
 
     def waiting(self, now_ms: int) -> list[WaitingStep]:
@@ -149,6 +157,8 @@
             index for index, task in enumerate(state.tasks) if task.phase == OPEN
         ]
         groups = [indices] if step.gang else [[index] for index in indices]
+        if step.may_miss:
+            groups = groups[: self._stoppable(key, step, state)]
         units = []
         for group in groups:
             runs = [(key.task(index), state.tasks[index].run) for index in group]
@@ -156,7 +166,7 @@
                 continue
             pairs = list(zip(group, runs, strict=True))
             longest_s = max(ran_s(state.tasks[index]) for index in group)
-            lost_s = 0.0 if step.checkpoints else longest_s
+            lost_s = _lost_s(step, longest_s)
             units.append(
                 RunningUnit(
                     key,
@@ -172,6 +182,15 @@
             )
         return units
 
+    def _stoppable(self, key: StepKey, step: Step, state: StepState) -> int:
+        """Return how many tasks of a step may be stopped, as few are away already."""
+        at_work = 0
+        for index, task in enumerate(state.tasks):
+            run = (key.task(index), task.run)
+            is_whole = self.fleet.percent(task.upstream, *run) >= AT_WORK_PERCENT
+            at_work += task.phase == OPEN and is_whole and run not in self.stopping
+        return max(step.may_miss - (step.count - at_work), 0)
+
     def _left_s(
         self, step: Step, state: StepState, index: int, run: tuple[str, int]
     ) -> float:
@@ -210,6 +229,13 @@
     return labels[RACK_LABEL_INDEX] if len(labels) > RACK_LABEL_INDEX else ""
 
 
+def _lost_s(step: Step, ran_s: float) -> float:
+    """Return for how many seconds a stopped task has worked, or serves, in vain."""
+    if step.checkpoints:
+        return 0.0
+    return LASTING_RESTART_S if step.long_running else ran_s
+
+
 def _waiting_indices(step: Step, state: StepState) -> list[int]:
     waiting = [i for i, task in enumerate(state.tasks) if task.phase == WAITING]
     if step.gang and len(waiting) < step.count:
--- a/src/hyssoprill/coordination/policy/dispatch/leaving.py
+++ b/src/hyssoprill/coordination/policy/dispatch/leaving.py
@@ -22,6 +22,8 @@
 
 def time_left_s(step: Step, ran_s: float, percent: int) -> float:
     """Return how long a run probably still takes."""
+    if step.long_running:
+        return float("inf")
     if percent >= TRUSTED_PERCENT:
         return ran_s * (100 - percent) / percent
     return max(step.estimate_ms / 1000 - ran_s, 0.0)
--- a/src/hyssoprill/coordination/policy/dispatch/placing.py
+++ b/src/hyssoprill/coordination/policy/dispatch/placing.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ....protocol.job import Amounts
+    from ....protocol.job import Amounts, Step
     from .view import UpstreamView, WaitingStep
 
     Room = Callable[[UpstreamView], Amounts]
@@ -37,10 +37,17 @@
     return [
         one
         for one in upstreams
-        if one.group == group and (not label or label in one.labels)
+        if one.group == group
+        and (not label or label in one.labels)
+        and not _would_disturb(step.step, one)
     ]
 
 
+def _would_disturb(step: Step, upstream: UpstreamView) -> bool:
+    """Tell whether filling and serving tasks would come together."""
+    return (step.fills and upstream.serves) or (step.target_ms > 0 and upstream.fills)
+
+
 def place_gang(
     step: WaitingStep,
     candidates: list[UpstreamView],
@@ -88,6 +95,8 @@
     """Account for one task of a step on an upstream."""
     need = step.step.need
     upstream.holds_dear_work |= step.is_dear
+    upstream.serves |= step.step.target_ms > 0
+    upstream.fills |= step.step.fills
     upstream.free = upstream.free.minus(need)
     if room is soon_free:
         short = [max(-amount, 0) for amount in upstream.free]
--- a/src/hyssoprill/coordination/policy/dispatch/view.py
+++ b/src/hyssoprill/coordination/policy/dispatch/view.py
@@ -36,6 +36,8 @@
         Whether it runs work that would be lost at a stop, and is not urgent.
     speed : float
         Against the mean of all.
+    serves, fills : bool
+        Whether it runs serving tasks, and filling ones that would disturb them.
     """
 
     key: str
@@ -49,6 +51,8 @@
     penalty: int = 0
     holds_dear_work: bool = False
     speed: float = 1.0
+    serves: bool = False
+    fills: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssoprill/coordination/upstream/progress.py
+++ b/src/hyssoprill/coordination/upstream/progress.py
@@ -17,6 +17,8 @@
 MAX_STALL_S = 3.0
 """A task whose progress stands still for this long is reported as stalled."""
 MIN_STALL_S = 1.5
+AT_WORK_PERCENT = 100
+"""Tasks that last stay at this progress while they work."""
 STALL_FACTOR = 12
 """So many times as long as it took for one percent so far, between these bounds."""
 
@@ -63,8 +65,8 @@
         now_s = boottime_s()
         return [
             (*key, since_s)
-            for key, (_percent, since_s) in self._since.items()
-            if now_s - since_s >= self._limit_s(key)
+            for key, (percent, since_s) in self._since.items()
+            if percent < AT_WORK_PERCENT and now_s - since_s >= self._limit_s(key)
         ]
 
     def reported(self, listing: Listing | None) -> None:
--- a/src/hyssoprill/protocol/job.py
+++ b/src/hyssoprill/protocol/job.py
@@ -60,6 +60,16 @@
         Rack beside whose data the tasks are fast, or ''.
     max_per_upstream : int
         Most tasks of the step on one upstream; 0 for any number.
+    long_running : bool
+        Whether the tasks run until the job is cancelled.
+    target_ms : int
+        Response time that the tasks, which serve users of their own, have to keep;
+        0 for others.
+    fills : bool
+        Whether the tasks may disturb serving ones on the same upstream.
+    may_miss : int
+        Most tasks of the step that stops may keep from work at a time; 0 for any
+        number.
     """
 
     count: int = 1
@@ -74,7 +84,9 @@
     max_per_upstream: int = 0
     speculative: bool = False
     long_running: bool = False
-    counted: bool = True
+    target_ms: int = 0
+    fills: bool = False
+    may_miss: int = 0
 
 
 class Job(Struct, frozen=True, omit_defaults=True):
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -331,3 +331,52 @@
         assert entry.replica.ledger.sizes is before
 
     play(scenario)
+
+
+LASTING = Step(
+    count=2, need=WHOLE, estimate_ms=1000, long_running=True, may_miss=1, target_ms=200
+)
+URGENT = "00000000000000b1"
+
+
+async def lasting_at_work(world, make_vm, step: Step):
+    """Have a lasting step at work on two VMs, and return the entry."""
+    entry, vms = await planning(world, make_vm, "vm1", "vm2")
+    await world.submit(NAME, step, priority=2)
+    await world.until(lambda: len(entry.ordered_runs()) == 2)
+    keys = {vm.key: vm for vm in vms}
+    for task, (key, run) in entry.ordered_runs().items():
+        keys[key].running = [RunRow(task, run, "", 100)]
+        keys[key].report()
+    return entry
+
+
+def stopping(entry) -> list[tuple[str, int]]:
+    return [
+        run
+        for vm in ("vm1", "vm2")
+        for one in entry.orders(vm).values()
+        for run in one.stopping
+    ]
+
+
+def test_lasting_task_is_stopped_for_a_guaranteed_job(play, make_vm):
+    async def scenario(world):
+        entry = await lasting_at_work(world, make_vm, LASTING)
+        await world.submit(URGENT, Step(need=WHOLE, estimate_ms=1000), priority=0)
+        await world.until(lambda: stopping(entry))
+        assert len(stopping(entry)) == 1
+
+    play(scenario)
+
+
+def test_no_more_lasting_tasks_are_stopped_than_may_be_missed(play, make_vm):
+    async def scenario(world):
+        entry = await lasting_at_work(world, make_vm, LASTING)
+        urgent = Step(count=2, need=WHOLE, estimate_ms=1000)
+        await world.submit(URGENT, urgent, priority=0)
+        await world.submit("00000000000000b2", Step(need=WHOLE), priority=0)
+        await asyncio.sleep(0.8)
+        assert len(stopping(entry)) <= 1
+
+    play(scenario)
--- a/tests/coordination/policy/dispatch/test_dispatch.py
+++ b/tests/coordination/policy/dispatch/test_dispatch.py
@@ -281,3 +281,29 @@
         world.upstream(f"u{number}")
     wide = world.step("wide", count=10, need=HEAVY, slack_s=20.0, checkpoints=True)
     assert len(plan_round([wide], world.upstreams, []).starts) == 10
+
+
+def test_filling_tasks_stay_away_from_serving_ones(world):
+    world.upstream("serving", serves=True)
+    world.upstream("free")
+    fill = world.step(count=20, fills=True)
+    plan = plan_round([fill], world.upstreams, [])
+    assert {start.upstream for start in plan.starts} == {"free"}
+
+
+def test_serving_tasks_stay_away_from_filling_ones(world):
+    world.upstream("filled", fills=True)
+    world.upstream("free", free=HALF)
+    serving = world.step(target_ms=200, long_running=True)
+    plan = plan_round([serving], world.upstreams, [])
+    assert [start.upstream for start in plan.starts] == ["free"]
+
+
+def test_filling_and_serving_tasks_of_one_round_do_not_come_together(world):
+    world.upstream("only")
+    steps = [
+        world.step("serving", target_ms=200, priority=0, long_running=True),
+        world.step("fill", fills=True),
+    ]
+    plan = plan_round(steps, world.upstreams, [])
+    assert [start.step.job_id for start in plan.starts] == ["serving"]
--- /dev/null
+++ b/tests/coordination/upstream/test_progress.py
@@ -0,0 +1,22 @@
+from __future__ import annotations
+
+import pytest
+
+from hyssoprill.clock import simulated_time
+from hyssoprill.coordination.upstream.progress import MAX_STALL_S, ProgressWatch
+from hyssoprill.ports.upstream import Listing
+from hyssoprill.protocol.upstream_messages import RunRow
+
+
+@pytest.mark.parametrize(("percent", "is_stalled"), [(40, True), (100, False)])
+def test_run_that_stands_still_has_stalled_unless_it_is_wholly_at_work(
+    percent, is_stalled
+):
+    now_s = [100.0]
+    with simulated_time(lambda: now_s[0]):
+        watch = ProgressWatch()
+        listing = Listing(0, (RunRow("t", 1, "", percent),), ())
+        watch.note(listing)
+        now_s[0] += MAX_STALL_S + 0.1
+        assert watch.note(listing) == is_stalled
+        assert bool(watch.stalled()) == is_stalled
