--- a/src/hyssoprill/coordination/planner/speeds.py
+++ b/src/hyssoprill/coordination/planner/speeds.py
@@ -18,29 +18,36 @@
     """
 
     def __init__(self) -> None:
-        self._logs: dict[str, tuple[float, int]] = {}
+        self._known: dict[str, tuple[float, int]] = {}
+        self._all = (0.0, 0)
 
     def done(self, upstream: str, estimate_s: float, ran_s: float) -> None:
         """Note a run from its beginning to its end, in one go."""
         if estimate_s <= 0 or ran_s <= 0:
             return
         ratio = min(max(estimate_s / ran_s, 1 / MAX_RATIO), MAX_RATIO)
-        total, runs = self._logs.get(upstream, (0.0, 0))
-        self._logs[upstream] = (total + math.log(ratio), runs + 1)
+        log = math.log(ratio)
+        self._known[upstream] = _with_run(self._known.get(upstream, (0.0, 0)), log)
+        self._all = _with_run(self._all, log)
 
     def of(self, upstream: str) -> float:
         """Return the speed of an upstream against the mean of all; 1.0 unknown."""
-        total, runs = self._logs.get(upstream, (0.0, 0))
-        return math.exp((total - runs * self._mean()) / (runs + PRIOR_RUNS))
-
-    def _mean(self) -> float:
-        runs = sum(count for _total, count in self._logs.values())
-        return sum(total for total, _count in self._logs.values()) / max(runs, 1)
+        total, runs = self._known.get(upstream, (0.0, 0))
+        if not runs:
+            return 1.0
+        mean = self._all[0] / self._all[1]
+        return math.exp((total - runs * mean) / (runs + PRIOR_RUNS))
 
     def keep_only(self, upstreams: set[str]) -> None:
         """Forget upstreams that are gone."""
-        for key in self._logs.keys() - upstreams:
-            del self._logs[key]
+        for key in self._known.keys() - upstreams:
+            total, runs = self._known.pop(key)
+            self._all = (self._all[0] - total, self._all[1] - runs)
+
+
+def _with_run(sums: tuple[float, int], log: float) -> tuple[float, int]:
+    """Return the sum of logarithms and the number of runs with one run more."""
+    return sums[0] + log, sums[1] + 1
 
 
 __all__ = ["Speeds"]
