--- a/bench/durable/load.py
+++ b/bench/durable/load.py
@@ -6,6 +6,7 @@
 import random
 from dataclasses import dataclass, field
 
+from hyssoprill.coordination.policy.dispatch.view import core_weight
 from hyssoprill.protocol.job import Amounts, Job, Step
 
 PRELOAD_S = 6.0
@@ -155,6 +156,11 @@
     for_s: float = 5.0
     share: float = 1.0
 
+    @property
+    def end_s(self) -> float:
+        """When it is over."""
+        return self.at_s + self.for_s
+
 
 @dataclass(frozen=True)
 class Profile:
@@ -348,7 +354,7 @@
         work_s,
         kind.stretch * _chain_s(steps, work_s, room * pool.upstreams)
         + kind.target_ms / 1000,
-        sum(work_s.values()) * (need.millicores / 1000 + 8 * need.accelerators),
+        sum(work_s.values()) * core_weight(need),
         at_s + rng.uniform(0.5, 12.0) if cancelled else math.inf,
         rng.random() < kind.hopeless_share,
         failing=random.Random(rng.getrandbits(32)),
--- a/bench/durable/model.py
+++ b/bench/durable/model.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
@@ -13,6 +13,7 @@
 from hyssoprill.clock import simulated_time
 from hyssoprill.coordination.planner.planner import Planner
 from hyssoprill.coordination.policy.dispatch.dispatch import plan_round
+from hyssoprill.coordination.policy.dispatch.view import core_weight
 from hyssoprill.job_settings import JobBounds
 from hyssoprill.ports.store import Record
 from hyssoprill.protocol.upstream_messages import VmHeartbeat, VmOrders
@@ -102,7 +103,10 @@
             load.cancel_at_s += SETTLED_S
         self._coming = sorted(self._loads.values(), key=lambda one: one.at_s)
         self._to_cancel = [one for one in self._coming if one.cancel_at_s < MAX_S]
-        self._faults = [_shifted(one) for one in profile.faults]
+        self._faults = [
+            replace(one, at_s=one.at_s + SETTLED_S) for one in profile.faults
+        ]
+        self._lasting: list[Fault] = []
         self._upstreams = [self._upstream(pool, i) for i in range(pool.upstreams)]
         self._by_vm = {one.vm: one for one in self._upstreams}
         self._outcomes = {key: Outcome(one) for key, one in self._loads.items()}
@@ -152,6 +156,7 @@
         )
 
     async def _let_jobs_come(self) -> bool:
+        """Hand in and cancel the jobs whose time has come."""
         news = False
         while self._coming and self._coming[0].at_s <= self._now_s:
             load = self._coming.pop(0)
@@ -170,18 +175,16 @@
     # Faults
 
     def _let_faults_come(self) -> None:
+        for fault in [one for one in self._lasting if one.end_s <= self._now_s]:
+            self._lasting.remove(fault)
+            self._end_fault(fault.kind)
         for fault in [one for one in self._faults if one.at_s <= self._now_s]:
             self._faults.remove(fault)
-            if fault.kind.startswith("end "):
-                self._end_fault(fault)
-                continue
+            self._lasting.append(fault)
             count = max(1, round(fault.share * len(self._upstreams)))
             chosen = self._rng.sample(self._upstreams, count)
             for upstream in chosen:
                 self._begin_fault(fault, upstream)
-            self._faults.append(
-                Fault(f"end {fault.kind}", fault.at_s + fault.for_s, share=fault.share)
-            )
 
     def _begin_fault(self, fault: Fault, upstream: SimUpstream) -> None:
         if fault.kind == "power":
@@ -194,8 +197,7 @@
             return
         upstream.faults.add(fault.kind)
 
-    def _end_fault(self, fault: Fault) -> None:
-        kind = fault.kind.removeprefix("end ")
+    def _end_fault(self, kind: str) -> None:
         for upstream in self._upstreams:
             upstream.faults.discard(kind)
             if kind == "power" and not upstream.is_up:
@@ -224,15 +226,11 @@
         return news
 
     def _count_end(self, run: SimRun, how: str) -> None:
+        """Add a run to what was useful, or to what was thrown away."""
+        keeps = run.load.job.steps[run.step].checkpoints and how == "stopped"
         if how == "done":
             self._result.useful_core_s += _core_s(run, run.work_s)
-        elif (
-            run.load.job.steps[run.step].checkpoints
-            and how == "stopped"
-            or how == "failed"
-        ):
-            return
-        else:
+        elif how != "failed" and not keeps:
             is_cancelled = run.load.cancel_at_s <= self._now_s
             self._waste("cancelled" if is_cancelled else how, run)
 
@@ -243,6 +241,7 @@
     # Planner
 
     async def _plan(self) -> None:
+        """Have a round, and pass its orders on."""
         began_s = time.perf_counter()
         await self._planner.round()
         self._result.round_us.append((time.perf_counter() - began_s) * 1e6)
@@ -264,13 +263,8 @@
                 outcome.failed_s = self._now_s
 
 
-def _shifted(fault: Fault) -> Fault:
-    return Fault(fault.kind, fault.at_s + SETTLED_S, fault.for_s, fault.share)
-
-
 def _core_s(run: SimRun, seconds: float) -> float:
-    need = run.load.job.steps[run.step].need
-    return seconds * (need.millicores / 1000 + 8 * need.accelerators)
+    return seconds * core_weight(run.load.job.steps[run.step].need)
 
 
 __all__ = ["Model", "Outcome", "Result"]
--- a/bench/durable/upstreams.py
+++ b/bench/durable/upstreams.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from hyssoprill.coordination.policy.dispatch.view import core_weight
 from hyssoprill.coordination.upstream.progress import ProgressWatch
 from hyssoprill.ports.upstream import Listing
 from hyssoprill.protocol.upstream_messages import (
@@ -53,7 +54,6 @@
     saved_s: float = 0.0
     fails_at_s: float = float("inf")
     stop_at_s: float = float("inf")
-    is_member_missing: bool = False
 
     @property
     def work_s(self) -> float:
@@ -64,8 +64,7 @@
     def lost_core_s(self) -> float:
         """Core seconds that would be lost now."""
         need = self.load.job.steps[self.step].need
-        cores = need.millicores / 1000 + 8 * need.accelerators
-        return max(self.done_s - self.saved_s, 0.0) * cores
+        return max(self.done_s - self.saved_s, 0.0) * core_weight(need)
 
 
 @dataclass
