--- a/src/hyssoprill/coordination/planner/survey.py
+++ b/src/hyssoprill/coordination/planner/survey.py
@@ -8,6 +8,7 @@
 
 from ...clock import boottime_s
 from ...protocol.job import NOTHING
+from ...protocol.upstream_messages import AT_WORK_PERCENT
 from ...state.ledger import OPEN, WAITING, StepKey
 from ..policy.dispatch.leaving import time_left_s
 from ..policy.dispatch.view import (
@@ -31,8 +32,6 @@
 
 SHUN_FAILURES = 2
 """A job does not go back where so many of its runs have failed."""
-AT_WORK_PERCENT = 100
-"""A task that lasts is at work with this progress; from PROTOCOL, "Jobs"."""
 LASTING_RESTART_S = 5.0
 """A stopped task that lasts is away for about so long: stop, place and start-up."""
 RACK_LABEL_INDEX = 1
--- a/src/hyssoprill/coordination/upstream/progress.py
+++ b/src/hyssoprill/coordination/upstream/progress.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ...clock import boottime_s
+from ...protocol.upstream_messages import AT_WORK_PERCENT
 
 if TYPE_CHECKING:
     from ...ports.upstream import Listing
@@ -17,8 +18,6 @@
 MAX_STALL_S = 3.0
 """A task whose progress stands still for this long is reported as stalled."""
 MIN_STALL_S = 1.5
-AT_WORK_PERCENT = 100
-"""Tasks that last stay at this progress while they work."""
 STALL_FACTOR = 12
 """So many times as long as it took for one percent so far, between these bounds."""
 
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -11,6 +11,9 @@
 from .job import NOTHING, Amounts
 from .message import Message
 
+AT_WORK_PERCENT = 100
+"""Tasks that last stay at this progress while they work; from PROTOCOL, "Jobs"."""
+
 
 class RunRow(Struct, frozen=True, array_like=True):
     """A run that an upstream lists as running."""
@@ -173,6 +176,7 @@
 
 
 __all__ = [
+    "AT_WORK_PERCENT",
     "EndRow",
     "Grant",
     "Referral",
