Ask no peer again that was of no help lately; leave no exception of a link unretrieved

With two of many peers turned away, the others were not asked at all. asyncio.wait_for receives in a task of its own; an exception that meets its cancellation is never retrieved (tracebacks on standard error). Change: peers that failed within 1 s are left out, those that failed longest ago come first, and others are asked for 1 s in all; without any the refusal is immediate. Links receive and send under asyncio.timeout. Ruled out: asking peers side by side (more appends of one record, no faster refusal).

--- a/src/hyssoprill/coordination/intake/relay.py
+++ b/src/hyssoprill/coordination/intake/relay.py
@@ -1,7 +1,9 @@
 """Appends through another entry while the store is out of reach from here.
 
 Load pattern: the store turns one VM away, or cannot be reached from it, and serves the
-others, while callers' open connections stay with that VM's entry.
+others, while callers' open connections stay with that VM's entry. Peers that were of no
+help lately are not asked again at once, so that callers get their answer without delay
+when nobody reaches the store.
 """
 
 from __future__ import annotations
@@ -10,6 +12,7 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from ...clock import boottime_s
 from ...errors import StoreInDoubtError, StoreRefusedError
 from ...logs import decision
 from ...ports.store import Record
@@ -24,7 +27,10 @@
     from ..planner.replica import Replica
 
 ANSWER_TIMEOUT_S = 0.5
-MAX_PEERS = 2
+SEARCH_TIMEOUT_S = 1.0
+"""No further peer is asked after this time: the caller waits meanwhile."""
+PEER_PAUSE_S = 1.0
+"""A peer that refused, or did not answer, is not asked again for this long."""
 HANG_UP_AFTER_S = 5.0
 
 
@@ -56,6 +62,7 @@
         self._replica = replica
         self._answers: dict[str, asyncio.Future[RelayResult]] = {}
         self._hang_ups: dict[str, asyncio.TimerHandle] = {}
+        self._failed_s: dict[str, float] = {}
 
     async def append(self, records: Sequence[Record]) -> int:
         """Append records to the jobs through a peer; return the first offset.
@@ -68,12 +75,15 @@
             Where a peer may have.
         """
         in_doubt = False
-        peers = [one for one in self._members.urls if one != self._name]
-        for peer in peers[:MAX_PEERS]:
+        began_s = boottime_s()
+        for peer in self._peers():
+            if boottime_s() - began_s > SEARCH_TIMEOUT_S:
+                break
             result = await self._ask(peer, records)
             if result is not None and result.code == "stored":
                 decision("append_relayed", peer=peer, records=len(records))
                 return result.offset
+            self._failed_s[peer] = boottime_s()
             in_doubt |= result is None or result.code == "in_doubt"
         if in_doubt:
             raise StoreInDoubtError(
@@ -81,6 +91,22 @@
             )
         raise StoreRefusedError("no peer reaches the store", remedy="retry later")
 
+    def _peers(self) -> list[str]:
+        """Return the peers worth asking, those that failed longest ago first."""
+        now_s = boottime_s()
+        failed_s = {
+            peer: self._failed_s.get(peer, float("-inf"))
+            for peer in self._members.urls
+            if peer != self._name
+        }
+        self._failed_s = {
+            peer: at for peer, at in self._failed_s.items() if peer in failed_s
+        }
+        worth_asking = [
+            one for one, at in failed_s.items() if now_s - at > PEER_PAUSE_S
+        ]
+        return sorted(worth_asking, key=failed_s.__getitem__)
+
     async def _ask(self, peer: str, records: Sequence[Record]) -> RelayResult | None:
         """Return a peer's answer, None where it gave none in time."""
         self._hub.dial(peer, self._members.urls[peer])
--- a/src/hyssoprill/transport/link.py
+++ b/src/hyssoprill/transport/link.py
@@ -156,9 +156,12 @@
             await asyncio.sleep(REDIAL_DELAY_S)
 
     async def _receive_until_silent(self, socket: pynng.Pair1) -> None:
+        # `asyncio.wait_for` would receive in a task of its own, whose exception is lost
+        # when the link is hung up while that task is being cancelled.
         with suppress(pynng.Closed, TimeoutError):
             while True:
-                received = await asyncio.wait_for(socket.arecv(), SILENCE_TIMEOUT_S)
+                async with asyncio.timeout(SILENCE_TIMEOUT_S):
+                    received = await socket.arecv()
                 envelope = self._open(received)
                 if envelope is not None:
                     self._enqueue(envelope)
@@ -210,7 +213,8 @@
 
 async def _send_on(target: pynng.Pair1 | pynng.Pipe, frame: bytes) -> bool:
     try:
-        await asyncio.wait_for(target.asend(frame), SILENCE_TIMEOUT_S)
+        async with asyncio.timeout(SILENCE_TIMEOUT_S):
+            await target.asend(frame)
     except (pynng.NNGException, TimeoutError):
         return False
     return True
--- a/tests/coordination/intake/test_relay.py
+++ b/tests/coordination/intake/test_relay.py
@@ -6,6 +6,7 @@
 import pytest
 from standins.job_store import MemoryStore
 
+from hyssoprill.coordination.intake import relay
 from hyssoprill.coordination.intake.relay import Relay
 from hyssoprill.coordination.members import MemberFollower
 from hyssoprill.errors import StoreInDoubtError, StoreRefusedError
@@ -30,6 +31,7 @@
     def __init__(self, name: str) -> None:
         self.store = MemoryStore()
         self.replica = FakeReplica()
+        self.name = name
         self.members = MemberFollower(self.store, lambda _name: None)
         codec = FrameCodec(KEY, name, "1")
         self.hub = LinkHub(codec, self._receive, Metrics("entry", name))
@@ -98,3 +100,47 @@
             await near.relay.append(RECORDS)
 
     play(scenario)
+
+
+def test_caller_is_answered_at_once_when_no_peer_was_of_help_lately():
+    async def scenario(near, far):
+        far.silent = True
+        with pytest.raises(StoreInDoubtError):
+            await near.relay.append(RECORDS)
+        began = time.monotonic()
+        with pytest.raises(StoreRefusedError):
+            await near.relay.append(RECORDS)
+        assert time.monotonic() - began < 0.1
+
+    play(scenario)
+
+
+def test_peer_that_failed_is_asked_again_after_a_pause(monkeypatch):
+    monkeypatch.setattr(relay, "PEER_PAUSE_S", 0.1)
+
+    async def scenario(near, far):
+        far.replica.unreached_s = 1.0
+        with pytest.raises(StoreRefusedError):
+            await near.relay.append(RECORDS)
+        far.replica.unreached_s = 0.0
+        await asyncio.sleep(0.15)
+        assert await near.relay.append(RECORDS) == 0
+
+    play(scenario)
+
+
+def test_third_peer_is_asked_when_two_refuse():
+    async def scenario(near, far):
+        others = [RelayEntry("second"), RelayEntry("third")]
+        far.replica.unreached_s = others[0].replica.unreached_s = 1.0
+        for one in others:
+            near.members.learn(one.name, one.url)
+        try:
+            assert await near.relay.append(RECORDS) == 0
+            assert others[1].store.topic("jobs").end == 1
+        finally:
+            for one in others:
+                await cancel_all(one.hub._tasks)
+                await one.hub.__aexit__()
+
+    play(scenario)
--- /dev/null
+++ b/tests/transport/test_link.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+import asyncio
+import gc
+
+from hyssoprill.protocol.upstream_messages import RelayResult
+from hyssoprill.tasks import cancel_all
+from hyssoprill.transport.frame import FrameCodec
+from hyssoprill.transport.link import LinkHub
+from hyssoprill.transport.metrics import Metrics
+
+KEY = "5f" * 32
+
+
+def hub(name: str) -> LinkHub:
+    async def ignore(_envelope) -> None:
+        pass
+
+    return LinkHub(FrameCodec(KEY, name, "1"), ignore, Metrics("entry", name))
+
+
+def unretrieved(scenario) -> list[str]:
+    """Run a scenario; return what the event loop had to report."""
+    found: list[str] = []
+
+    async def body() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, what: found.append(what["message"]))
+        await scenario()
+        await asyncio.sleep(0.05)
+        gc.collect()
+        await asyncio.sleep(0)
+
+    asyncio.run(body())
+    return found
+
+
+def test_link_leaves_no_exception_unretrieved_when_it_is_hung_up():
+    async def scenario():
+        async with hub("far") as far, hub("near") as near:
+            url = far.listen("127.0.0.1", 0)
+            for _ in range(20):
+                near.dial("far", url)
+                await asyncio.sleep(0.01)
+                await near.send("far", RelayResult("token", "stored", 0))
+                near.hang_up("far")
+
+    assert unretrieved(scenario) == []
+
+
+def test_link_leaves_no_exception_unretrieved_when_its_task_is_cancelled():
+    async def scenario():
+        async with hub("far") as far, hub("near") as near:
+            url = far.listen("127.0.0.1", 0)
+            for _ in range(20):
+                near.dial("far", url)
+                await asyncio.sleep(0.01)
+                near.hang_up("far")
+                await cancel_all(near._tasks)
+
+    assert unretrieved(scenario) == []
+
+
+def test_link_leaves_no_exception_unretrieved_when_its_peer_is_silent(monkeypatch):
+    monkeypatch.setattr("hyssoprill.transport.link.SILENCE_TIMEOUT_S", 0.01)
+
+    async def scenario():
+        async with hub("far") as far, hub("near") as near:
+            near.dial("far", far.listen("127.0.0.1", 0))
+            await asyncio.sleep(0.6)
+
+    assert unretrieved(scenario) == []
