Let late jobs cost others a quarter of their work; grown and large pools in the model

Such a job may cost others as much as its own work, as urgent ones may; its work is long and the stopped job is late in turn. Change: 0.25 for jobs that are not urgent. The model now has the sheets' load: all steps of several tasks of surveys and quotes are gangs (was 0.2 and 0.5), pools grown and large, profile notice.

--- a/bench/durable/__main__.py
+++ b/bench/durable/__main__.py
@@ -10,7 +10,7 @@
 
 from hyssoprill.coordination.policy.dispatch.dispatch import plan_round
 
-from .load import PROFILES, Pool, scaled
+from .load import POOLS, PROFILES, scaled
 from .measures import measure
 from .model import Model, Result
 from .naive import plan_in_order
@@ -18,9 +18,11 @@
 POLICIES = {"ours": plan_round, "naive": plan_in_order}
 
 
-def play(policy: str, profile: str, seed: int, upstreams: int) -> Result:
-    """Play one run of the model."""
-    pool = scaled(Pool(), upstreams)
+def play(policy: str, profile: str, seed: int, pool_name: str, size: int) -> Result:
+    """Play one run of the model on a pool, of its own size where `size` is 0."""
+    pool = POOLS[pool_name]
+    if size:
+        pool = scaled(pool, size)
     model = Model(PROFILES[profile], pool, seed, decide=POLICIES[policy])
     return asyncio.run(model.run())
 
@@ -30,13 +32,15 @@
 @click.option("--policy", "policies", multiple=True, type=click.Choice(list(POLICIES)))
 @click.option("--seed", default=1, show_default=True, help="First seed.")
 @click.option("--seeds", default=8, show_default=True, help="Number of seeds.")
-@click.option("--upstreams", default=11, show_default=True)
+@click.option("--pool", type=click.Choice(list(POOLS)), default="small")
+@click.option("--upstreams", default=0, help="Size of the pool, in place of its own.")
 @click.option("--jobs", default=3, show_default=True, help="Processes.")
 def main(
     names: tuple[str, ...],
     policies: tuple[str, ...],
     seed: int,
     seeds: int,
+    pool: str,
     upstreams: int,
     jobs: int,
 ) -> None:
@@ -45,7 +49,7 @@
     with ProcessPoolExecutor(jobs) as executor:
         plays = {
             (name, policy): [
-                executor.submit(play, policy, name, one, upstreams)
+                executor.submit(play, policy, name, one, pool, upstreams)
                 for one in range(seed, seed + seeds)
             ]
             for name in names or PROFILES
--- a/bench/durable/load.py
+++ b/bench/durable/load.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hyssoprill.coordination.policy.dispatch.view import core_weight
 from hyssoprill.protocol.job import Amounts, Job, Step
@@ -35,8 +35,8 @@
     worth, late_worth : float
         Of a job of mean size, within its objective and up to three times later.
     gang_share, saving_share, located_share, cancelled_share : float
-        Parts of the jobs that are gangs, save progress, have data on a rack, or are
-        cancelled while they run.
+        Parts of the steps of several tasks that are gangs, and of the jobs that save
+        progress, have data on a rack, or are cancelled while they run.
     estimate_error : float
         Estimates differ by up to this part from the work.
     failing_share, hopeless_share : float
@@ -81,7 +81,7 @@
         1000,
         3.0,
         0.9,
-        gang_share=0.2,
+        gang_share=1.0,
         tight_share=0.6,
         saving_share=0.45,
         located_share=0.2,
@@ -101,7 +101,7 @@
         250,
         4.0,
         0.8,
-        gang_share=0.5,
+        gang_share=1.0,
         tight_share=0.8,
         failing_share=0.05,
     ),
@@ -197,6 +197,12 @@
                 Fault("leave", 24.0, 4.0, 0.07),
             ),
         ),
+        Profile(
+            "notice",
+            1.1,
+            (Burst("quote", 2.2, 0.5, 6.0),),
+            (Fault("leave", 3.2, 2.0, 0.09), Fault("leave", 24.2, 2.0, 0.09)),
+        ),
         Profile(
             "power",
             0.85,
@@ -237,9 +243,17 @@
 
 @dataclass(frozen=True)
 class Pool:
-    """Upstreams by zone and rack, and what is guaranteed to workspaces."""
+    """Upstreams by zone and rack, what is guaranteed to workspaces, and their jobs.
+
+    Attributes
+    ----------
+    classes : tuple of JobClass
+        Their rates are those of a pool of `usual_upstreams`.
+    """
 
     upstreams: int = 11
+    usual_upstreams: int = 11
+    classes: tuple[JobClass, ...] = CLASSES
     rack_size: int = 3
     zones: int = 3
     capacity: Amounts = Amounts(8, 64_000, 262_144)
@@ -251,23 +265,73 @@
 def scaled(pool: Pool, upstreams: int) -> Pool:
     """Return a pool of another size with guarantees in proportion."""
     factor = upstreams / pool.upstreams
-    return Pool(
-        upstreams,
-        pool.rack_size,
-        pool.zones,
-        pool.capacity,
-        tuple(round(one * factor) for one in pool.guaranteed),
-        pool.shares,
-        pool.speeds,
-    )
+    guaranteed = tuple(round(one * factor) for one in pool.guaranteed)
+    return replace(pool, upstreams=upstreams, guaranteed=guaranteed)
+
+
+def _wider(
+    classes: tuple[JobClass, ...], **fields: dict[str, object]
+) -> tuple[JobClass, ...]:
+    """Return the classes with other values of some fields, by name of the class."""
+    return tuple(replace(one, **fields.get(one.name, {})) for one in classes)
+
+
+_GROWN_CLASSES = _wider(
+    CLASSES,
+    survey={"per_s": 0.376, "width": (6.0, 0.8, 36.0)},
+    quote={"per_s": 0.595, "width": (5.4, 0.8, 32.0)},
+    list={"per_s": 0.109, "width": (39.0, 0.8, 230.0)},
+)
+_LARGE_CLASSES = _wider(
+    CLASSES,
+    survey={
+        "per_s": 0.345,
+        "work_s": (22.0, 0.3, 22.0),
+        "width": (13.0, 0.8, 76.0),
+        "memory_mb": 38_000,
+    },
+    quote={"per_s": 2.15, "width": (5.3, 0.8, 32.0), "memory_mb": 11_000},
+    list={
+        "per_s": 0.425,
+        "work_s": (15.2, 0.3, 22.0),
+        "width": (38.0, 0.8, 230.0),
+        "memory_mb": 8_200,
+    },
+)
+_TEN_GUARANTEES = (70, 49, 38, 30, 25, 21, 17, 15, 12, 11)
+"""Accelerators guaranteed to ten workspaces, 0.62 of 58 upstreams."""
+
+POOLS = {
+    "small": Pool(),
+    "grown": Pool(
+        58,
+        58,
+        _GROWN_CLASSES,
+        rack_size=8,
+        guaranteed=_TEN_GUARANTEES,
+        shares=_TEN_GUARANTEES,
+    ),
+    "large": Pool(
+        160,
+        160,
+        _LARGE_CLASSES,
+        rack_size=16,
+        zones=5,
+        capacity=Amounts(8, 64_000, 131_072),
+        guaranteed=tuple(round(one * 160 / 58) for one in _TEN_GUARANTEES),
+        shares=_TEN_GUARANTEES,
+        speeds=(1.0,),
+    ),
+}
+"""Pools with their load, as the sheets of the deployments describe them."""
 
 
 def generate(profile: Profile, pool: Pool, seed: int) -> list[LoadJob]:
     """Return the jobs of one run, in the order of their coming."""
     rng = random.Random(seed)
-    factor = pool.upstreams / Pool().upstreams
+    factor = pool.upstreams / pool.usual_upstreams
     jobs = []
-    for job_class in CLASSES:
+    for job_class in pool.classes:
         if job_class.priority:
             mean = job_class.per_s * profile.rate * factor * 20.0
             jobs += [
@@ -283,7 +347,7 @@
                 break
             jobs.append(_job(rng, job_class, pool, at_s))
     jobs.sort(key=lambda one: one.at_s)
-    _set_worth(jobs)
+    _set_worth(jobs, pool.classes)
     return jobs
 
 
@@ -302,7 +366,6 @@
 
 def _job(rng: random.Random, kind: JobClass, pool: Pool, at_s: float) -> LoadJob:
     accelerators = rng.choice(kind.accelerators)
-    gang = rng.random() < kind.gang_share
     saves = rng.random() < kind.saving_share and kind.priority > 0
     located = rng.random() < kind.located_share
     racks = math.ceil(pool.upstreams / pool.rack_size)
@@ -313,8 +376,9 @@
     total = 1 + (rng.random() < kind.steps - 1)
     for number in range(total):
         count = max(1, round(_lognormal(rng, *kind.width)))
+        gang = count > 1 and rng.random() < kind.gang_share
         if gang:
-            count = min(max(count, 2), room * pool.rack_size)
+            count = min(count, room * pool.rack_size)
         mean_s = max(_lognormal(rng, *kind.work_s), 0.3)
         for index in range(count):
             spread = rng.uniform(1 - TASK_SPREAD, 1 + TASK_SPREAD)
@@ -372,9 +436,9 @@
     return total
 
 
-def _set_worth(jobs: list[LoadJob]) -> None:
+def _set_worth(jobs: list[LoadJob], classes: tuple[JobClass, ...]) -> None:
     """Weigh each job by its work against the mean of its class."""
-    for kind in CLASSES:
+    for kind in classes:
         own = [one for one in jobs if one.job_class is kind]
         mean = sum(one.core_s for one in own) / max(len(own), 1)
         for one in own:
@@ -384,6 +448,7 @@
 
 __all__ = [
     "CLASSES",
+    "POOLS",
     "PRELOAD_S",
     "PROFILES",
     "STEADY_S",
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -31,6 +31,10 @@
 
 With 0.5, urgent jobs of several whole upstreams waited behind long work that a burst
 found running; measured with `python -m bench.durable` on urgent-burst."""
+MAX_LATE_LOSS_SHARE = 0.25
+"""The same for a job that is not urgent and about to miss its objective.
+
+Its work is long, and so is what it would stop, whose callers wait as well."""
 ESTIMATE_DOUBT = 0.5
 """Estimates may be this part too short, so that an objective is later than it seems."""
 END_FACTOR = 1.3
@@ -151,12 +155,13 @@
     doubt_s = step.step.estimate_ms / 1000 * ESTIMATE_DOUBT
     if not is_urgent or step.slack_s < -doubt_s:
         return None
-    max_cost = step.work * MAX_LOSS_SHARE
+    loss_share = MAX_LOSS_SHARE if step.is_urgent else MAX_LATE_LOSS_SHARE
+    max_cost = step.work * loss_share
     whole = make_room(step, candidates, lower, max_cost=max_cost)
     if whole is not None or step.step.gang:
         return whole
     one = replace(step, indices=step.indices[:1])
-    return make_room(one, candidates, lower, max_cost=one.work * MAX_LOSS_SHARE)
+    return make_room(one, candidates, lower, max_cost=one.work * loss_share)
 
 
 def _reclaim(
--- a/tests/coordination/policy/dispatch/test_dispatch.py
+++ b/tests/coordination/policy/dispatch/test_dispatch.py
@@ -107,6 +107,22 @@
     assert plan_round([urgent], world.upstreams, world.units).stops == []
 
 
+def test_late_job_throws_away_little_of_the_work_of_others(world):
+    world.upstream("a")
+    world.running("long", "a", cost=200.0)
+    late = world.step(need=WHOLE, priority=1, slack_s=1.0)
+    assert late.work == 640.0
+    assert plan_round([late], world.upstreams, world.units).stops == []
+
+
+def test_late_job_takes_the_room_of_work_that_has_just_begun(world):
+    world.upstream("a")
+    short = world.running("short", "a", cost=100.0)
+    late = world.step(need=WHOLE, priority=1, slack_s=1.0)
+    plan = plan_round([late], world.upstreams, world.units)
+    assert [unit for unit, _why in plan.stops] == [short]
+
+
 def test_job_with_time_left_waits_instead_of_stopping_others(world):
     world.upstream("a")
     world.running("cheap", "a", cost=1.0)
