Stop a refused run before it counts as never started, where a call had no answer

A start without an answer was sent again, answered 'old' as the run was done meanwhile, and reported as refused, which the planner takes for never started. Change: after a call without an answer, a refusal as already run, or orders taken over from an earlier agent, the agent stops the run and waits for a list asked for after that; an end listed there says what became of it. Refusals of calls that were all answered are reported at once as before.

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -9,6 +9,7 @@
 from ...clock import boottime_s
 from ...errors import UpstreamGoneError, UpstreamSilentError
 from ...logs import decision
+from ...ports.upstream import HAS_RUN
 from ...protocol.upstream_messages import UpstreamOrders, UpstreamReport
 from ...tasks import TaskSet
 from .authority import CLOCK_RATE_ERROR, MAX_LATENESS_S
@@ -76,7 +77,9 @@
         self._stop_answered_s: dict[RunKey, float] = {}
         self._closed: set[RunKey] = set()
         self._refused: dict[RunKey, str] = {}
+        self._uncertain: set[RunKey] = set()
         self._listing: Listing | None = None
+        self._listing_sent_s = float("-inf")
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
         self._lease_ends_s = 0.0
@@ -123,8 +126,13 @@
 
     def ordered(self, orders: UpstreamOrders) -> None:
         """Take in what is to run, replacing earlier orders."""
+        is_first = self._orders is None
         self._orders = orders
         self._wanted = {(run.task, run.run): run for run in orders.runs}
+        if is_first:
+            # An agent that ran here before may have called for them.
+            self._uncertain |= self._wanted.keys()
+        self._uncertain &= self._wanted.keys()
         stopping = set(orders.stopping)
         self._closed &= stopping
         self._stop_answered_s = {
@@ -178,7 +186,7 @@
         while key in self._wanted and not self.gone:
             reason = self._why_not_now()
             if reason == "draining":
-                self._refuse(key, reason)
+                await self._give_up(key, reason)
                 return
             if reason:
                 await asyncio.sleep(RETRY_DELAY_S)
@@ -192,6 +200,7 @@
                 )
             except UpstreamSilentError as exc:
                 decision("start_in_doubt", task=key[0], run=key[1], why=str(exc))
+                self._uncertain.add(key)
                 self._note_doubt()
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
@@ -205,9 +214,33 @@
             if answer.reason == "late":
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            self._refuse(key, answer.reason)
+            await self._give_up(key, answer.reason)
             return
 
+    async def _give_up(self, key: RunKey, reason: str) -> None:
+        """Report a run as refused as soon as it cannot have been started.
+
+        The upstream's refusal speaks of one call only. An earlier one without an answer
+        may have been carried out, or be carried out later, until the run is stopped.
+        """
+        if key in self._uncertain or reason == HAS_RUN:
+            await self._stop(key)
+            stopped_s = boottime_s()
+            while self._listing_sent_s <= stopped_s or self._is_running(key):
+                await asyncio.sleep(RETRY_DELAY_S)
+            if self._has_ended(key):
+                return
+        self._refuse(key, reason)
+
+    def _is_running(self, key: RunKey) -> bool:
+        rows = self._listing.running if self._listing is not None else ()
+        return any(run_key(row) == key for row in rows)
+
+    def _has_ended(self, key: RunKey) -> bool:
+        """Tell whether the upstream lists a run's end, which then says all."""
+        rows = self._listing.ended if self._listing is not None else ()
+        return any((row.task, row.run) == key for row in rows)
+
     def _refuse(self, key: RunKey, reason: str) -> None:
         decision("start_refused", task=key[0], run=key[1], why=reason)
         self._refused[key] = reason
@@ -310,6 +343,7 @@
         before = self._listing
         self._clock_ms, self._clock_read_s = listing.clock_ms, time.monotonic()
         self._listing = listing
+        self._listing_sent_s = sent_s
         newly_stalled = self.progress.note(listing)
         present = {run_key(row) for row in listing.running}
         present |= {(row.task, row.run) for row in listing.ended}
--- a/src/hyssoprill/ports/upstream.py
+++ b/src/hyssoprill/ports/upstream.py
@@ -55,6 +55,10 @@
     born_ms: int = 0
 
 
+HAS_RUN = "has run"
+"""Reason of a refusal where the run, or a later one of its task, has ended there."""
+
+
 @dataclass(frozen=True, slots=True)
 class StartAnswer:
     """Answer to a start: accepted, or refused for a reason."""
@@ -98,4 +102,4 @@
         ...
 
 
-__all__ = ["CheckIn", "Listing", "StartAnswer", "UpstreamPort"]
+__all__ = ["HAS_RUN", "CheckIn", "Listing", "StartAnswer", "UpstreamPort"]
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -8,10 +8,12 @@
 from hyssoprill.clock import boottime_s
 from hyssoprill.coordination.upstream import session as session_module
 from hyssoprill.coordination.upstream.vm_agent import VmAgent
+from hyssoprill.errors import UpstreamSilentError
 from hyssoprill.ports.store import Record
-from hyssoprill.ports.upstream import CheckIn, Listing, StartAnswer
+from hyssoprill.ports.upstream import HAS_RUN, CheckIn, Listing, StartAnswer
 from hyssoprill.protocol.job import Amounts
 from hyssoprill.protocol.upstream_messages import (
+    EndRow,
     Grant,
     Referral,
     RunOrder,
@@ -36,11 +38,19 @@
         self.calls: list[tuple[Any, ...]] = []
         self.running: dict[tuple[str, int], str] = {}
         self.refusal = ""
+        self.silent_starts = 0
+        self.late_starts: list[tuple[str, int]] = []
+        self.ended: list[EndRow] = []
+        self.lists = True
         self.leases: list[int | None] = []
         self.clock_ms = 1_000_000
 
     async def start(self, order, *, term, lease_until_ms, timeout_s):
         self.calls.append(("start", order.task, order.run, term))
+        if self.silent_starts:
+            self.silent_starts -= 1
+            self.late_starts.append((order.task, order.run))
+            raise UpstreamSilentError("no answer")
         if self.refusal:
             return StartAnswer(False, self.refusal)
         self.running[order.task, order.run] = order.payload
@@ -49,13 +59,17 @@
     async def stop(self, task, run, *, term, timeout_s):
         self.calls.append(("stop", task, run, term))
         self.running.pop((task, run), None)
+        if (task, run) in self.late_starts:
+            self.late_starts.remove((task, run))
         return True
 
     async def hold(self, *, term, stored_upto, lease_until_ms, wait_s, timeout_s):
         self.leases.append(lease_until_ms)
         await asyncio.sleep(min(wait_s, 0.05))
+        if not self.lists:
+            raise UpstreamSilentError("no answer")
         rows = tuple(RunRow(task, run, "", 0) for task, run in self.running)
-        return Listing(self.clock_ms, rows, ())
+        return Listing(self.clock_ms, rows, tuple(self.ended))
 
     def close(self) -> None:
         pass
@@ -302,3 +316,63 @@
         assert [one.key for one in entry.reports[-1].upstreams] != [first]
 
     play(scenario)
+
+
+def refusals(entry: FakeEntry) -> list[tuple[str, int, str]]:
+    return [row for report in entry.reports for row in report.upstreams[0].refused]
+
+
+def test_refused_run_is_stopped_first_when_an_earlier_call_had_no_answer():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        await entry.order(1)
+        world.upstream.silent_starts = 1
+        world.upstream.refusal = "room"
+        await entry.order(2, RunOrder(TASK, 1, "x", ""))
+        await world.until(lambda: refusals(entry))
+        assert world.upstream.late_starts == []
+        assert ("stop", TASK, 1, 1) in world.upstream.calls
+
+    play(scenario)
+
+
+def test_run_is_not_refused_when_its_end_is_not_listed_yet():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        await entry.order(1)
+        world.upstream.silent_starts = 1
+        world.upstream.refusal = HAS_RUN
+        world.upstream.lists = False
+        await entry.order(2, RunOrder(TASK, 1, "x", ""))
+        await world.until(lambda: ("stop", TASK, 1, 1) in world.upstream.calls)
+        await asyncio.sleep(0.3)
+        world.upstream.ended.append(EndRow(1, TASK, 1, "done", ""))
+        world.upstream.lists = True
+        await world.until(lambda: entry.reports[-1].upstreams[0].ended)
+        await asyncio.sleep(0.3)
+        assert refusals(entry) == []
+
+    play(scenario)
+
+
+def test_refused_run_is_stopped_first_when_it_was_ordered_from_an_earlier_agent():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        world.upstream.refusal = "room"
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await world.until(lambda: refusals(entry))
+        assert ("stop", TASK, 1, 1) in world.upstream.calls
+
+    play(scenario)
+
+
+def test_refused_run_is_reported_at_once_when_all_its_calls_were_answered():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        await entry.order(1)
+        world.upstream.refusal = "room"
+        await entry.order(2, RunOrder(TASK, 1, "x", ""))
+        await world.until(lambda: refusals(entry))
+        assert ("stop", TASK, 1, 1) not in world.upstream.calls
+
+    play(scenario)
