Keep suspecting upstreams that fail runs at once

Two gangs of 15 with two attempts were given up within 1.3 s. The first failure, 0.05 s after the start, should have excluded its upstream for 6 s; it did not, as (1) a run that had begun before the trouble ended done there 0.6 s later, which cleared it, and (2) once the gang failed on a second such upstream, both were cleared as if the job were to blame. Change: success clears only failures from before that run began; failures at once speak against up to two upstreams of one job, and against none from the third on; a run that ends within 0.2 s failed at once whatever its estimate. Ruled out: hopeless jobs as the cause (theirs failed after 3 s and more in the traces).

--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -22,6 +22,8 @@
 
 AT_ONCE_SHARE = 0.05
 """A run that fails within this part of its estimate has failed at once."""
+AT_ONCE_S = 0.2
+"""The same for short estimates; covers the order, the start and the report."""
 PROGRESS_INTERVAL_S = 1.0
 """Saved progress is stored this often: a process and its upstream may end together."""
 
@@ -115,7 +117,7 @@
         job = self.ledger.jobs[run.step.job_id].job
         changes.end(run.step, run.index, how, saved, max_attempts=job.max_attempts)
         if how == "done":
-            self.suspicion.succeeded(upstream)
+            self.suspicion.succeeded(upstream, boottime_s() - ran_s(before))
             self._learn_speed(upstream, job.steps[run.step.step], before)
         elif how == "failed":
             estimate_s = job.steps[run.step.step].estimate_ms / 1000
@@ -124,7 +126,7 @@
                 job.id,
                 run.run,
                 boottime_s(),
-                at_once=ran_s(before) < estimate_s * AT_ONCE_SHARE,
+                at_once=ran_s(before) < max(estimate_s * AT_ONCE_SHARE, AT_ONCE_S),
             )
         elif how.startswith("refused"):
             self.suspicion.refused(run.step, boottime_s())
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -192,7 +192,7 @@
         if boottime_s() - self._dropped_s < DROP_INTERVAL_S:
             return
         self._dropped_s = boottime_s()
-        self._suspicion.keep_only(set(self._ledger.active))
+        self._suspicion.keep_only(set(self._ledger.active), self._dropped_s)
         self._speeds.keep_only({one.key for one in self._fleet.reports()})
         records = expired_records(self._ledger, self._state_kept_s)
         if records:
--- a/src/hyssoprill/coordination/planner/suspicion.py
+++ b/src/hyssoprill/coordination/planner/suspicion.py
@@ -2,7 +2,8 @@
 
 Load pattern: one upstream fails all that it starts and is therefore always the one
 with free room, or a job fails wherever it runs. Failures count against an upstream
-only while the job has not failed on another one.
+only while the job has not failed on another one. Where several upstreams fail all they
+start, a job may meet two of them: runs that failed at once speak against both.
 """
 
 from __future__ import annotations
@@ -18,6 +19,8 @@
 REFUSAL_DELAY_S = 0.1
 """After a refused start a step waits so long, doubled with each further one."""
 MAX_REFUSAL_DELAY_S = 3.0
+MAX_BAD_UPSTREAMS = 2
+"""A job that failed at once on more upstreams than this fails at once everywhere."""
 EXCLUDE_MARKS = 2
 """With so many failures in a row within `SPARE_S`, it gets no starts at all."""
 
@@ -47,16 +50,28 @@
         failed_on = self._failed_on[job_id]
         marks = {run, -run} if at_once else {run}
         failed_on.setdefault(upstream, set()).update(marks)
-        if len(failed_on) == 1:
-            known = self._failures[upstream].setdefault(job_id, {})
-            known.update(dict.fromkeys(marks, now_s))
-            return
-        for other in failed_on:
-            self._failures[other].pop(job_id, None)
-
-    def succeeded(self, upstream: str) -> None:
-        """Note that a run was done: the upstream works."""
-        self._failures.pop(upstream, None)
+        known = self._failures[upstream].setdefault(job_id, {})
+        known.update(dict.fromkeys(marks, now_s))
+        if len(failed_on) > 1:
+            self._dismiss(job_id, failed_on)
+
+    def _dismiss(self, job_id: str, failed_on: dict[str, set[int]]) -> None:
+        """Forget failures that are probably the job's own fault."""
+        at_once = {one for one, marks in failed_on.items() if min(marks) < 0}
+        if len(at_once) > MAX_BAD_UPSTREAMS:
+            at_once = set()
+        for upstream in failed_on.keys() - at_once:
+            self._failures[upstream].pop(job_id, None)
+
+    def succeeded(self, upstream: str, began_s: float) -> None:
+        """Note that a run was done: the upstream worked when it began.
+
+        Runs that began before the failures end well also on an upstream that fails
+        all it starts.
+        """
+        for runs in self._failures.get(upstream, {}).values():
+            for mark in [one for one, at in runs.items() if at < began_s]:
+                del runs[mark]
 
     def marks(self, upstream: str, now_s: float) -> int:
         """Return how many failures speak against an upstream."""
@@ -79,8 +94,14 @@
         """Tell whether a step was refused too lately to try again."""
         return now_s < self._refusals.get(step, (0, 0.0))[1]
 
-    def keep_only(self, job_ids: set[str]) -> None:
-        """Forget where jobs failed that are no longer of interest."""
+    def keep_only(self, job_ids: set[str], now_s: float) -> None:
+        """Forget where jobs failed that are over, and failures that no longer count."""
+        for upstream, known in list(self._failures.items()):
+            for job_id, runs in list(known.items()):
+                if all(now_s - at >= SPARE_S for at in runs.values()):
+                    del known[job_id]
+            if not known:
+                del self._failures[upstream]
         for job_id in self._failed_on.keys() - job_ids:
             del self._failed_on[job_id]
         for step in [one for one in self._refusals if one.job_id not in job_ids]:
--- a/tests/coordination/planner/test_suspicion.py
+++ b/tests/coordination/planner/test_suspicion.py
@@ -23,6 +23,21 @@
     assert suspicion.marks("a", 2.0) == suspicion.marks("b", 2.0) == 0
 
 
+def test_upstreams_that_fail_runs_at_once_stay_excluded_when_a_job_met_two():
+    suspicion = Suspicion()
+    suspicion.failed("a", "job", 1, 1.0, at_once=True)
+    suspicion.failed("b", "job", 2, 1.5, at_once=True)
+    assert suspicion.marks("a", 2.0) >= EXCLUDE_MARKS
+    assert suspicion.marks("b", 2.0) >= EXCLUDE_MARKS
+
+
+def test_job_that_fails_at_once_everywhere_speaks_against_no_upstream():
+    suspicion = Suspicion()
+    for run, upstream in enumerate("abc", start=1):
+        suspicion.failed(upstream, "poison", run, 1.0, at_once=True)
+    assert not any(suspicion.marks(one, 2.0) for one in "abc")
+
+
 def test_tasks_that_fail_together_count_once():
     suspicion = Suspicion()
     for _ in range(3):
@@ -33,8 +48,15 @@
 def test_success_clears_an_upstream():
     suspicion = Suspicion()
     suspicion.failed("a", "job", 1, 1.0)
-    suspicion.succeeded("a")
-    assert suspicion.marks("a", 1.0) == 0
+    suspicion.succeeded("a", 1.1)
+    assert suspicion.marks("a", 1.2) == 0
+
+
+def test_success_of_a_run_that_began_before_the_failure_clears_nothing():
+    suspicion = Suspicion()
+    suspicion.failed("a", "job", 1, 1.0, at_once=True)
+    suspicion.succeeded("a", 0.5)
+    assert suspicion.marks("a", 1.2) >= EXCLUDE_MARKS
 
 
 def test_failures_count_for_a_while_only():
@@ -74,5 +96,6 @@
 def test_jobs_that_are_over_are_forgotten():
     suspicion = Suspicion()
     suspicion.failed("a", "job", 1, 1.0)
-    suspicion.keep_only(set())
+    suspicion.keep_only(set(), 1.5)
     assert suspicion.failed_on("job") == frozenset()
+    assert suspicion.marks("a", 1.5) == 1
