--- a/src/hyssoprill/cli/main.py
+++ b/src/hyssoprill/cli/main.py
@@ -13,6 +13,7 @@
 from .client import Client, pass_client
 from .output import show_json, show_rows
 from .trace import trace
+from .waste import waste
 
 EXIT_USAGE = 2
 EXIT_ERROR = 1
@@ -125,6 +126,7 @@
 
 main.add_command(bundle)
 main.add_command(trace)
+main.add_command(waste)
 
 if __name__ == "__main__":
     main()
