--- /dev/null
+++ b/tests/coordination/upstream/test_session_faults.py
@@ -0,0 +1,140 @@
+"""Random faults of an upstream's calls, judged by what the upstream has run."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from hyssoprill.clock import boottime_s
+from hyssoprill.coordination.upstream import session as session_module
+from hyssoprill.coordination.upstream.authority import Authority
+from hyssoprill.coordination.upstream.session import UpstreamSession
+from hyssoprill.errors import UpstreamSilentError
+from hyssoprill.ports.upstream import HAS_RUN, CheckIn, Listing, StartAnswer
+from hyssoprill.protocol.job import Amounts
+from hyssoprill.protocol.upstream_key import UpstreamKey
+from hyssoprill.protocol.upstream_messages import (
+    EndRow,
+    RunOrder,
+    RunRow,
+    UpstreamOrders,
+)
+
+TASK = "00000000000000a1.0.0.0"
+KEY = UpstreamKey("vm-1", "127.0.0.1:1", 100, "i-1")
+RUNS = 12
+MAX_LATE_S = 0.06
+"""A start without an answer is carried out up to so much later."""
+RUN_S = 0.02
+
+
+class FaultyUpstream:
+    """An upstream that keeps the protocol behind calls that get lost or come late.
+
+    Attributes
+    ----------
+    began : set of int
+        Numbers of the runs that were ever at work.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.began: set[int] = set()
+        self.running: dict[int, float] = {}
+        self.over: set[int] = set()
+        self.ended: list[EndRow] = []
+
+    async def start(self, order, *, term, lease_until_ms, timeout_s):
+        fault = self.rng.random()
+        if fault < 0.25:
+            late_s = self.rng.choice((0.0, self.rng.uniform(0.0, MAX_LATE_S)))
+            asyncio.get_running_loop().call_later(late_s, self._begin, order.run)
+            raise UpstreamSilentError("no answer")
+        if fault < 0.5:
+            return StartAnswer(False, self.rng.choice(("room", "status 503")))
+        if not self._begin(order.run):
+            return StartAnswer(False, HAS_RUN)
+        return StartAnswer(True, "")
+
+    def _begin(self, run: int) -> bool:
+        self._advance()
+        if run in self.running:
+            return True
+        if any(one >= run for one in self.over):
+            return False
+        self.began.add(run)
+        self.running[run] = boottime_s() + RUN_S
+        return True
+
+    async def stop(self, task, run, *, term, timeout_s):
+        if self.rng.random() < 0.2:
+            raise UpstreamSilentError("no answer")
+        self._advance()
+        self.over.add(run)
+        if self.running.pop(run, None) is not None:
+            self._end(run, "stopped")
+        return True
+
+    async def hold(self, *, term, stored_upto, lease_until_ms, wait_s, timeout_s):
+        await asyncio.sleep(0.002)
+        if self.rng.random() < 0.4:
+            raise UpstreamSilentError("no answer")
+        self._advance()
+        self.ended = [row for row in self.ended if row.number > stored_upto]
+        rows = tuple(RunRow(TASK, run, "", 0) for run in self.running)
+        return Listing(1_000_000, rows, tuple(self.ended))
+
+    def _advance(self) -> None:
+        for run in [one for one, at in self.running.items() if at < boottime_s()]:
+            del self.running[run]
+            self.over.add(run)
+            self._end(run, "done")
+
+    def _end(self, run: int, how: str) -> None:
+        self.ended.append(EndRow(len(self.over), TASK, run, how, ""))
+
+    def close(self) -> None:
+        pass
+
+
+async def ordered_until_over(session: UpstreamSession, run: int) -> str:
+    """Order a run until the session reports what became of it; return that."""
+    orders = UpstreamOrders(str(KEY), [RunOrder(TASK, run, "x", "")], [], 0)
+    while True:
+        session.ordered(orders)
+        await asyncio.sleep(0.005)
+        report = session.report()
+        for row in report.ended:
+            if row.run == run:
+                return row.how
+        if any(one[1] == run for one in report.refused):
+            return "refused"
+        if any(number == run for _task, number in report.closed):
+            return "refused"
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_refused_run_never_begins_when_calls_are_lost_or_late(seed, monkeypatch):
+    monkeypatch.setattr(session_module, "RETRY_DELAY_S", 0.003)
+    monkeypatch.setattr(session_module, "MIN_HOLD_INTERVAL_S", 0.002)
+
+    async def body() -> None:
+        upstream = FaultyUpstream(random.Random(seed))
+        check_in = CheckIn(
+            "i-1", 100, 1, "127.0.0.1:1", "g", "z", False, Amounts(8, 8000, 8000)
+        )
+        authority = Authority(1, boottime_s() + 3600.0)
+        session = UpstreamSession(KEY, check_in, upstream, authority, 6.0, lambda: None)
+        refused = set()
+        for run in range(1, RUNS + 1):
+            session.ordered(UpstreamOrders(str(KEY), [], [], 0))
+            if await ordered_until_over(session, run) == "refused":
+                assert run not in upstream.began
+                refused.add(run)
+        await asyncio.sleep(MAX_LATE_S)
+        assert not refused & upstream.began
+        await session.close()
+
+    asyncio.run(body())
