--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -27,14 +27,11 @@
 RECLAIM_MARGIN_S = 1.1
 """Of the time to reclaim what is guaranteed, for the stops and the starts."""
 MAX_LOSS_SHARE = 1.0
-"""Beyond its guarantee, a step may cost others this part of its own work.
-
-With 0.5, urgent jobs of several whole upstreams waited behind long work that a burst
-found running; measured with `python -m bench.durable` on urgent-burst."""
+"""Beyond its guarantee, an urgent step may cost others this part of its own work."""
 MAX_LATE_LOSS_SHARE = 0.25
-"""The same for a job that is not urgent and about to miss its objective.
+"""The same for a step that is not urgent and about to miss its objective.
 
-Its work is long, and so is what it would stop, whose callers wait as well."""
+What it would stop is long work as well, whose callers wait in turn."""
 ESTIMATE_DOUBT = 0.5
 """Estimates may be this part too short, so that an objective is later than it seems."""
 END_FACTOR = 1.3
