Let calls that were never sent leave no doubt; short leases on draining upstreams

Their agents lived until 32.5 s and could not connect any more; each failed call counted as one that may be carried out 12 s later under a lease of up to 10 s, so that the planner waited until 51.7 s, and nothing of the job ran meanwhile. The agent itself never gave the upstream up, as each failed hold put off the end of the lease. Change: a call without a connection was not sent and leaves neither doubt nor lease; doubt counts from when the call was sent and with the lease that it asked for; an agent gives an upstream up when the lease and the doubt have passed; on draining upstreams leases are 4 s. Ruled out: trusting a refused connection as proof that the upstream has ended (a cut may refuse too); dropping the 12 s (late grants count from their arrival).

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -7,7 +7,11 @@
 from typing import TYPE_CHECKING, Any
 
 from ...clock import boottime_s
-from ...errors import UpstreamGoneError, UpstreamSilentError
+from ...errors import (
+    UpstreamGoneError,
+    UpstreamSilentError,
+    UpstreamUnreachedError,
+)
 from ...logs import decision
 from ...ports.upstream import HAS_RUN
 from ...protocol.upstream_messages import UpstreamOrders, UpstreamReport
@@ -32,6 +36,10 @@
 RETRY_DELAY_S = 0.15
 MIN_HOLD_INTERVAL_S = 0.05
 """Upstreams answer holds at once while they list ends that are not acknowledged."""
+DRAINING_LEASE_S = 4.0
+"""Longest lease on a draining upstream, above what a hold without an answer takes."""
+DOUBT_NEWS_S = 0.5
+"""Doubt that lasts longer by this is reported."""
 MIN_LEASE_S = 0.3
 """A shorter lease would lapse before it could be extended."""
 
@@ -191,6 +199,7 @@
             if reason:
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            sent_s, lease_s = boottime_s(), self._lease_s
             try:
                 answer = await self._port.start(
                     order,
@@ -198,10 +207,13 @@
                     lease_until_ms=self._lease_until_ms(),
                     timeout_s=CALL_TIMEOUT_S,
                 )
+            except UpstreamUnreachedError:
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
             except UpstreamSilentError as exc:
                 decision("start_in_doubt", task=key[0], run=key[1], why=str(exc))
                 self._uncertain.add(key)
-                self._note_doubt()
+                self._note_doubt(sent_s, lease_s)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             except UpstreamGoneError:
@@ -283,30 +295,30 @@
 
     async def _hold_loop(self) -> None:
         while not self.gone:
-            sent_s = boottime_s()
+            sent_s, lease_s = boottime_s(), self._lease_s
             try:
                 listing = await self._hold()
             except UpstreamGoneError:
                 self._lost("another lifetime answered")
                 return
-            except UpstreamSilentError:
-                self._note_doubt()
+            except UpstreamSilentError as exc:
+                if not isinstance(exc, UpstreamUnreachedError):
+                    self._extend_lease(sent_s, lease_s)
+                    self._note_doubt(sent_s, lease_s)
                 if self._lease_has_lapsed():
                     self._lost("no answer since its lease lapsed")
                     return
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            self._extend_lease(sent_s, lease_s)
             self._listed(listing, sent_s)
             await asyncio.sleep(MIN_HOLD_INTERVAL_S)
 
     async def _hold(self) -> Listing:
         first = self._listing is None
-        lease_s = min(self._max_lease_s, self._authority.lease_left_s)
         until_ms = None
-        if not first and lease_s > MIN_LEASE_S:
+        if not first and self._lease_s > MIN_LEASE_S:
             until_ms = self._lease_until_ms()
-            ends_s = boottime_s() + HOLD_TIMEOUT_S + lease_s * (1 + CLOCK_RATE_ERROR)
-            self._lease_ends_s = max(self._lease_ends_s, ends_s)
         return await self._port.hold(
             term=self._authority.term,
             stored_upto=self._orders.stored_upto if self._orders is not None else 0,
@@ -315,15 +327,32 @@
             timeout_s=HOLD_TIMEOUT_S,
         )
 
-    def _note_doubt(self) -> None:
+    @property
+    def _lease_s(self) -> float:
+        """How long the lease may be that is asked for now.
+
+        A lease that a draining upstream holds is waited for after it has left.
+        """
+        most_s = DRAINING_LEASE_S if self.check_in.draining else self._max_lease_s
+        return min(most_s, self._max_lease_s, self._authority.lease_left_s)
+
+    def _note_doubt(self, sent_s: float, lease_s: float) -> None:
         """Note that a call without an answer may lengthen the lease later."""
-        is_news = boottime_s() > self._doubt_until_s - MAX_LATENESS_S
-        self._doubt_until_s = boottime_s() + MAX_LATENESS_S + self._max_lease_s
+        until_s = sent_s + MAX_LATENESS_S + max(lease_s, 0.0)
+        is_news = until_s - self._doubt_until_s > DOUBT_NEWS_S
+        self._doubt_until_s = max(self._doubt_until_s, until_s)
         if is_news:
             self._on_change()
 
+    def _extend_lease(self, sent_s: float, lease_s: float) -> None:
+        """Note until when a hold that was sent may have extended the lease."""
+        if self._listing is not None and lease_s > MIN_LEASE_S:
+            ends_s = sent_s + HOLD_TIMEOUT_S + lease_s * (1 + CLOCK_RATE_ERROR)
+            self._lease_ends_s = max(self._lease_ends_s, ends_s)
+
     def _lease_has_lapsed(self) -> bool:
-        return self._lease_ends_s > 0 and boottime_s() > self._lease_ends_s
+        ends_s = max(self._lease_ends_s, self._doubt_until_s)
+        return self._lease_ends_s > 0 and boottime_s() > ends_s
 
     def _lease_until_ms(self) -> int:
         """Return the end of the lease on the upstream's clock.
@@ -332,8 +361,7 @@
         VM asks for too short a lease rather than too long a one.
         """
         now_ms = self._clock_ms + (time.monotonic() - self._clock_read_s) * 1000
-        lease_s = min(self._max_lease_s, self._authority.lease_left_s)
-        return int(now_ms + lease_s * 1000)
+        return int(now_ms + self._lease_s * 1000)
 
     def _listed(self, listing: Listing, sent_s: float) -> None:
         """Take in a list that was asked for at `sent_s`."""
--- a/src/hyssoprill/errors.py
+++ b/src/hyssoprill/errors.py
@@ -146,6 +146,10 @@
     code = "upstream_silent"
 
 
+class UpstreamUnreachedError(UpstreamSilentError):
+    """No connection to an upstream was made, so that nothing was sent."""
+
+
 class WorkerError(HyssoprillError):
     """The worker refused an operation or gave an unusable answer."""
 
@@ -176,6 +180,7 @@
     "UpstreamError",
     "UpstreamGoneError",
     "UpstreamSilentError",
+    "UpstreamUnreachedError",
     "WorkerError",
     "WorkerRefusedError",
 ]
--- a/src/hyssoprill/ports/upstream.py
+++ b/src/hyssoprill/ports/upstream.py
@@ -70,9 +70,10 @@
 class UpstreamPort(Protocol):
     """One lifetime of an upstream.
 
-    All calls raise `UpstreamGoneError` where another lifetime answers and
-    `UpstreamSilentError` where no usable answer came; the call may then be
-    carried out seconds later.
+    All calls raise `UpstreamGoneError` where another lifetime answers,
+    `UpstreamUnreachedError` where nothing was sent, and any other
+    `UpstreamSilentError` where no usable answer came; the call may then be carried out
+    seconds later.
     """
 
     async def start(
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -8,7 +8,7 @@
 from hyssoprill.clock import boottime_s
 from hyssoprill.coordination.upstream import session as session_module
 from hyssoprill.coordination.upstream.vm_agent import VmAgent
-from hyssoprill.errors import UpstreamSilentError
+from hyssoprill.errors import UpstreamSilentError, UpstreamUnreachedError
 from hyssoprill.ports.store import Record
 from hyssoprill.ports.upstream import HAS_RUN, CheckIn, Listing, StartAnswer
 from hyssoprill.protocol.job import Amounts
@@ -42,10 +42,13 @@
         self.late_starts: list[tuple[str, int]] = []
         self.ended: list[EndRow] = []
         self.lists = True
+        self.is_reachable = True
         self.leases: list[int | None] = []
         self.clock_ms = 1_000_000
 
     async def start(self, order, *, term, lease_until_ms, timeout_s):
+        if not self.is_reachable:
+            raise UpstreamUnreachedError("no connection")
         self.calls.append(("start", order.task, order.run, term))
         if self.silent_starts:
             self.silent_starts -= 1
@@ -64,6 +67,8 @@
         return True
 
     async def hold(self, *, term, stored_upto, lease_until_ms, wait_s, timeout_s):
+        if not self.is_reachable:
+            raise UpstreamUnreachedError("no connection")
         self.leases.append(lease_until_ms)
         await asyncio.sleep(min(wait_s, 0.05))
         if not self.lists:
@@ -376,3 +381,61 @@
         assert ("stop", TASK, 1, 1) not in world.upstream.calls
 
     play(scenario)
+
+
+def doubt_s(agent: VmAgent) -> float:
+    session = next(iter(agent._sessions.values()))
+    return session.report().doubt_s
+
+
+def test_calls_that_were_never_sent_leave_no_doubt():
+    async def scenario(world, agent):
+        entry = await ready(world, agent)
+        await entry.order(1)
+        world.upstream.is_reachable = False
+        await entry.order(2, RunOrder(TASK, 1, "x", ""))
+        await asyncio.sleep(0.5)
+        assert doubt_s(agent) == 0.0
+
+    play(scenario)
+
+
+def test_doubt_does_not_grow_when_later_calls_are_never_sent():
+    async def scenario(world, agent):
+        await ready(world, agent)
+        world.upstream.lists = False
+        await world.until(lambda: doubt_s(agent))
+        world.upstream.is_reachable = False
+        await asyncio.sleep(0.2)
+        before_s = doubt_s(agent)
+        await asyncio.sleep(0.5)
+        assert doubt_s(agent) < before_s - 0.4
+
+    play(scenario)
+
+
+def test_upstream_that_is_out_of_reach_is_given_up_when_its_lease_has_lapsed(
+    monkeypatch,
+):
+    monkeypatch.setattr(session_module, "HOLD_TIMEOUT_S", 0.2)
+
+    async def scenario(world, agent):
+        agent.set_max_lease(0.5)
+        entry = await ready(world, agent)
+        await world.until(lambda: any(world.upstream.leases))
+        world.upstream.is_reachable = False
+        await world.until(lambda: entry.reports[-1].gone, 3.0)
+
+    play(scenario)
+
+
+def test_leases_on_a_draining_upstream_are_short():
+    async def scenario(world, agent):
+        await ready(world, agent)
+        agent.checked_in(check_in(number=2, draining=True, remaining_ms=2000))
+        world.upstream.leases.clear()
+        await world.until(lambda: any(world.upstream.leases))
+        longest_ms = max(one for one in world.upstream.leases if one)
+        assert longest_ms - world.upstream.clock_ms < 4_600
+
+    play(scenario)
