Look again only at what a stop changes when room is made for a step

Making room looked at all upstreams, units and places again for each task of the step, sorted all units for each rack, and compared units by value. Change: options and counts are kept by upstream and looked for again only where a unit stops; units are sorted once; chosen units are left out by identity.

--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -67,7 +67,8 @@
         stopped = _preempt(step, candidates, units, reclaim_s)
         if stopped is not None:
             plan.stops += [(unit, f"room for {step.key.job_id}") for unit in stopped]
-            units = [unit for unit in units if unit not in stopped]
+            gone = {id(unit) for unit in stopped}
+            units = [unit for unit in units if id(unit) not in gone]
         elif held < MAX_HELD_STEPS:
             held += _hold(step, candidates)
     return plan
--- a/src/hyssoprill/coordination/policy/dispatch/placing.py
+++ b/src/hyssoprill/coordination/policy/dispatch/placing.py
@@ -112,14 +112,19 @@
     return max(fits, 0)
 
 
+def fits_on(step: WaitingStep, upstream: UpstreamView, room: Room) -> int:
+    """Return how many of a step's waiting tasks fit on an upstream."""
+    count = room(upstream).count(step.step.need, len(step.indices))
+    return _capped(step, upstream, count)
+
+
 def _counts(
     step: WaitingStep, candidates: list[UpstreamView], room: Room
 ) -> dict[str, int]:
     """Return how many tasks fit on each upstream."""
-    wanted = len(step.indices)
     counts = {}
     for upstream in candidates:
-        fits = _capped(step, upstream, room(upstream).count(step.step.need, wanted))
+        fits = fits_on(step, upstream, room)
         if fits:
             counts[upstream.key] = fits
     return counts
@@ -182,6 +187,7 @@
 
 
 __all__ = [
+    "fits_on",
     "free",
     "one_rack_is_possible",
     "place_each",
--- a/src/hyssoprill/coordination/policy/dispatch/preempting.py
+++ b/src/hyssoprill/coordination/policy/dispatch/preempting.py
@@ -11,7 +11,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from .placing import place_each, place_gang, soon_free, take
+from .placing import fits_on, place_each, place_gang, soon_free, take
 
 if TYPE_CHECKING:
     from .view import RunningUnit, UpstreamView, WaitingStep
@@ -42,20 +42,30 @@
     best: list[RunningUnit] | None = None
     best_cost = max_cost
     best_domain: list[UpstreamView] = []
+    by_upstream = _by_upstream(units)
     for domain in _domains(step, candidates):
-        found = _vacate(step, domain, units)
+        found = _vacate(step, domain, by_upstream)
         if found is not None and _cost(found) <= best_cost:
             best, best_cost, best_domain = found, _cost(found), domain
             if not found:
                 break
     if best is None:
         return None
-    _mark_leaving(best, best_domain)
+    _mark_leaving(best, {one.key: one for one in best_domain})
     for upstream in _places(step, best_domain)[: len(step.indices)]:
         take(step, upstream, soon_free)
     return best
 
 
+def _by_upstream(units: list[RunningUnit]) -> dict[str, list[RunningUnit]]:
+    """Return the units on each upstream, in the order in which they would stop."""
+    found: dict[str, list[RunningUnit]] = defaultdict(list)
+    for unit in sorted(units, key=_rank):
+        for key in dict.fromkeys(unit.places):
+            found[key].append(unit)
+    return found
+
+
 def _domains(
     step: WaitingStep, candidates: list[UpstreamView]
 ) -> list[list[UpstreamView]]:
@@ -75,32 +85,60 @@
 
 
 def _vacate(
-    step: WaitingStep, domain: list[UpstreamView], units: list[RunningUnit]
+    step: WaitingStep,
+    domain: list[UpstreamView],
+    by_upstream: dict[str, list[RunningUnit]],
 ) -> list[RunningUnit] | None:
-    """Return the units of a domain to stop; the views are left as they were."""
-    present = {one.key for one in domain}
-    by_upstream: dict[str, list[RunningUnit]] = defaultdict(list)
-    for unit in sorted(units, key=_rank):
-        for key in dict.fromkeys(unit.places):
-            if key in present:
-                by_upstream[key].append(unit)
+    """Return the units of a domain to stop; the views are left as they were.
+
+    A stop changes only the upstreams of the unit, so that only their options are
+    looked for again.
+    """
+    views = {one.key: one for one in domain}
     before = [(one, one.leaving) for one in domain]
     chosen: dict[int, RunningUnit] = {}
+    counts: dict[str, int] = {}
+    options: dict[str, tuple[float, list[RunningUnit]] | None] = {}
+    changed = list(views)
     try:
-        while len(_places(step, domain)) < len(step.indices):
-            option = _cheapest_option(step, domain, by_upstream, chosen)
-            if option is None:
+        while True:
+            counts.update(
+                (key, fits_on(step, views[key], soon_free)) for key in changed
+            )
+            if sum(counts.values()) >= len(step.indices):
+                return list(chosen.values())
+            for key in changed:
+                units = by_upstream.get(key, [])
+                options[key] = _option(step, views[key], units, chosen)
+            known = (one for one in options.values() if one is not None)
+            cheapest = min(known, key=_option_cost, default=None)
+            if cheapest is None:
                 return None
-            chosen.update((id(unit), unit) for unit in option)
-            _mark_leaving(option, domain)
-        return list(chosen.values())
+            chosen.update((id(unit), unit) for unit in cheapest[1])
+            _mark_leaving(cheapest[1], views)
+            touched = {key for unit in cheapest[1] for key in unit.places}
+            changed = [key for key in views if key in touched]
     finally:
         for one, leaving in before:
             one.leaving = leaving
 
 
-def _mark_leaving(units: list[RunningUnit], domain: list[UpstreamView]) -> None:
-    views = {one.key: one for one in domain}
+def _option(
+    step: WaitingStep,
+    upstream: UpstreamView,
+    units: list[RunningUnit],
+    chosen: dict[int, RunningUnit],
+) -> tuple[float, list[RunningUnit]] | None:
+    """Return what to stop for one more task on an upstream, and what that costs."""
+    found = _victims(step, upstream, units, chosen)
+    return None if found is None else (_cost(found), found)
+
+
+def _option_cost(option: tuple[float, list[RunningUnit]]) -> float:
+    return option[0]
+
+
+def _mark_leaving(units: list[RunningUnit], views: dict[str, UpstreamView]) -> None:
     for unit in units:
         for key in unit.places:
             if key in views:
@@ -121,20 +159,6 @@
     return sum(unit.cost + STOP_COST for unit in units)
 
 
-def _cheapest_option(
-    step: WaitingStep,
-    domain: list[UpstreamView],
-    by_upstream: dict[str, list[RunningUnit]],
-    chosen: dict[int, RunningUnit],
-) -> list[RunningUnit] | None:
-    """Return the cheapest units whose end makes room for one more task."""
-    options = (
-        _victims(step, upstream, by_upstream[upstream.key], chosen)
-        for upstream in domain
-    )
-    return min((one for one in options if one is not None), key=_cost, default=None)
-
-
 def _victims(
     step: WaitingStep,
     upstream: UpstreamView,
