Move the lease of an upstream's lifetime into a module of its own

Lease length, clock, doubt and lapse are LeaseWatch now; what lists and check-ins say are methods of theirs. Behaviour as before; the tests of agent, session and platform pass (68).

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Any
 
 from ...clock import boottime_s
@@ -16,7 +15,7 @@
 from ...ports.upstream import HAS_RUN
 from ...protocol.upstream_messages import UpstreamOrders, UpstreamReport
 from ...tasks import TaskSet
-from .authority import CLOCK_RATE_ERROR, MAX_LATENESS_S
+from .lease import MIN_LEASE_S, LeaseWatch
 from .progress import ProgressWatch, RunKey, run_key
 
 if TYPE_CHECKING:
@@ -36,12 +35,6 @@
 RETRY_DELAY_S = 0.15
 MIN_HOLD_INTERVAL_S = 0.05
 """Upstreams answer holds at once while they list ends that are not acknowledged."""
-DRAINING_LEASE_S = 4.0
-"""Longest lease on a draining upstream, above what a hold without an answer takes."""
-DOUBT_NEWS_S = 0.5
-"""Doubt that lasts longer by this is reported."""
-MIN_LEASE_S = 0.3
-"""A shorter lease would lapse before it could be extended."""
 
 
 class UpstreamSession:
@@ -76,7 +69,7 @@
         self.progress = ProgressWatch()
         self._port = port
         self._authority = authority
-        self._max_lease_s = max_lease_s
+        self._lease = LeaseWatch(authority, max_lease_s)
         self._on_change = on_change
         self._orders: UpstreamOrders | None = None
         self._wanted: dict[RunKey, RunOrder] = {}
@@ -88,10 +81,6 @@
         self._uncertain: set[RunKey] = set()
         self._listing: Listing | None = None
         self._listing_sent_s = float("-inf")
-        self._clock_ms = 0.0
-        self._clock_read_s = 0.0
-        self._lease_ends_s = 0.0
-        self._doubt_until_s = 0.0
         self._tasks = TaskSet()
         self._tasks.spawn(self._hold_loop())
 
@@ -102,7 +91,7 @@
 
     def checked_in(self, check_in: CheckIn) -> None:
         """Take in a newer check-in of the same lifetime."""
-        changed = _essence(check_in) != _essence(self.check_in)
+        changed = not check_in.says_the_same(self.check_in)
         self.check_in = check_in
         if changed:
             self._on_change()
@@ -111,7 +100,6 @@
         """Return what the planner is told."""
         self.progress.reported(self._listing)
         listing, check_in = self._listing, self.check_in
-        now_s = boottime_s()
         running = list(listing.running) if listing is not None else []
         return UpstreamReport(
             str(self.key),
@@ -127,7 +115,7 @@
             self.progress.stalled(),
             check_in.remaining_ms,
             check_in.draining,
-            max(self._doubt_until_s - now_s, 0.0),
+            self._lease.doubt_s,
         )
 
     # Orders
@@ -238,21 +226,14 @@
         if key in self._uncertain or reason == HAS_RUN:
             await self._stop(key)
             stopped_s = boottime_s()
-            while self._listing_sent_s <= stopped_s or self._is_running(key):
+            while self._listing_sent_s <= stopped_s or (
+                self._listing is not None and self._listing.shows_running(*key)
+            ):
                 await asyncio.sleep(RETRY_DELAY_S)
-            if self._has_ended(key):
+            if self._listing is not None and self._listing.shows_ended(*key):
                 return
         self._refuse(key, reason)
 
-    def _is_running(self, key: RunKey) -> bool:
-        rows = self._listing.running if self._listing is not None else ()
-        return any(run_key(row) == key for row in rows)
-
-    def _has_ended(self, key: RunKey) -> bool:
-        """Tell whether the upstream lists a run's end, which then says all."""
-        rows = self._listing.ended if self._listing is not None else ()
-        return any((row.task, row.run) == key for row in rows)
-
     def _refuse(self, key: RunKey, reason: str) -> None:
         decision("start_refused", task=key[0], run=key[1], why=reason)
         self._refused[key] = reason
@@ -268,7 +249,7 @@
             return "draining"
         if not self._authority.may_start:
             return "planner not heard lately"
-        if self._listing is None or self._authority.lease_left_s < MIN_LEASE_S:
+        if self._listing is None or self._lease_s < MIN_LEASE_S:
             return "no lease"
         return ""
 
@@ -303,14 +284,14 @@
                 return
             except UpstreamSilentError as exc:
                 if not isinstance(exc, UpstreamUnreachedError):
-                    self._extend_lease(sent_s, lease_s)
+                    self._lease.extended(sent_s + HOLD_TIMEOUT_S, lease_s)
                     self._note_doubt(sent_s, lease_s)
-                if self._lease_has_lapsed():
+                if self._lease.has_lapsed:
                     self._lost("no answer since its lease lapsed")
                     return
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            self._extend_lease(sent_s, lease_s)
+            self._lease.extended(sent_s + HOLD_TIMEOUT_S, lease_s)
             self._listed(listing, sent_s)
             await asyncio.sleep(MIN_HOLD_INTERVAL_S)
 
@@ -329,47 +310,23 @@
 
     @property
     def _lease_s(self) -> float:
-        """How long the lease may be that is asked for now.
+        return self._lease.length_s(draining=self.check_in.draining)
 
-        A lease that a draining upstream holds is waited for after it has left.
-        """
-        most_s = DRAINING_LEASE_S if self.check_in.draining else self._max_lease_s
-        return min(most_s, self._max_lease_s, self._authority.lease_left_s)
+    def _lease_until_ms(self) -> int:
+        return self._lease.until_ms(self._lease_s)
 
     def _note_doubt(self, sent_s: float, lease_s: float) -> None:
-        """Note that a call without an answer may lengthen the lease later."""
-        until_s = sent_s + MAX_LATENESS_S + max(lease_s, 0.0)
-        is_news = until_s - self._doubt_until_s > DOUBT_NEWS_S
-        self._doubt_until_s = max(self._doubt_until_s, until_s)
-        if is_news:
+        """Note that a call without an answer may be carried out later."""
+        if self._lease.doubted(sent_s, lease_s):
             self._on_change()
 
-    def _extend_lease(self, sent_s: float, lease_s: float) -> None:
-        """Note until when a hold that was sent may have extended the lease."""
-        if self._listing is not None and lease_s > MIN_LEASE_S:
-            ends_s = sent_s + HOLD_TIMEOUT_S + lease_s * (1 + CLOCK_RATE_ERROR)
-            self._lease_ends_s = max(self._lease_ends_s, ends_s)
-
-    def _lease_has_lapsed(self) -> bool:
-        ends_s = max(self._lease_ends_s, self._doubt_until_s)
-        return self._lease_ends_s > 0 and boottime_s() > ends_s
-
-    def _lease_until_ms(self) -> int:
-        """Return the end of the lease on the upstream's clock.
-
-        That clock is reckoned on by one that a suspension stops, so that a suspended
-        VM asks for too short a lease rather than too long a one.
-        """
-        now_ms = self._clock_ms + (time.monotonic() - self._clock_read_s) * 1000
-        return int(now_ms + self._lease_s * 1000)
-
     def _listed(self, listing: Listing, sent_s: float) -> None:
         """Take in a list that was asked for at `sent_s`."""
         if listing.born_ms and listing.born_ms != self.key.born_ms:
             self._lost("its list names another start")
             return
         before = self._listing
-        self._clock_ms, self._clock_read_s = listing.clock_ms, time.monotonic()
+        self._lease.clock_read(listing.clock_ms)
         self._listing = listing
         self._listing_sent_s = sent_s
         newly_stalled = self.progress.note(listing)
@@ -397,15 +354,4 @@
         self._on_change()
 
 
-def _essence(check_in: CheckIn) -> tuple[object, ...]:
-    """Return what of a check-in the planner acts on."""
-    return (
-        check_in.draining,
-        check_in.capacity,
-        check_in.labels,
-        check_in.group,
-        check_in.zone,
-    )
-
-
 __all__ = ["UpstreamSession"]
--- a/src/hyssoprill/ports/upstream.py
+++ b/src/hyssoprill/ports/upstream.py
@@ -36,6 +36,16 @@
     labels: tuple[str, ...] = ()
     remaining_ms: int = -1
 
+    def says_the_same(self, other: CheckIn) -> bool:
+        """Tell whether nothing differs that the planner acts on."""
+        return (
+            self.draining == other.draining
+            and self.capacity == other.capacity
+            and self.labels == other.labels
+            and self.group == other.group
+            and self.zone == other.zone
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Listing:
@@ -54,6 +64,14 @@
     ended: tuple[EndRow, ...]
     born_ms: int = 0
 
+    def shows_running(self, task: str, run: int) -> bool:
+        """Tell whether a run is listed as present."""
+        return any((row.task, row.run) == (task, run) for row in self.running)
+
+    def shows_ended(self, task: str, run: int) -> bool:
+        """Tell whether the end of a run is listed."""
+        return any((row.task, row.run) == (task, run) for row in self.ended)
+
 
 HAS_RUN = "has run"
 """Reason of a refusal where the run, or a later one of its task, has ended there."""
