Add hyssoprill late, which says how late jobs were and what for

Change: the command reads the decision lines of all processes, follows each job's longest chain backwards and splits its time into work, room, store, no planner, and the causes that ended its runs. job_accepted gains stretch, target_latency_ms and the steps' after; run_planned gains the rack. No policy is changed.

--- a/src/hyssoprill/cli/main.py
+++ b/src/hyssoprill/cli/main.py
@@ -11,6 +11,7 @@
 from ..errors import HyssoprillError, SettingsError
 from .bundle import bundle
 from .client import Client, pass_client
+from .late import late
 from .output import show_json, show_rows
 from .trace import trace
 from .waste import waste
@@ -127,6 +128,7 @@
 main.add_command(bundle)
 main.add_command(trace)
 main.add_command(waste)
+main.add_command(late)
 
 if __name__ == "__main__":
     main()
--- a/src/hyssoprill/cli/waste.py
+++ b/src/hyssoprill/cli/waste.py
@@ -106,7 +106,9 @@
             continue
         seen.add((task, run))
         group = (task.rpartition(".")[0], run)
-        yield _RunEnd(group, step, _cause(line.fields), float(line.fields["ran_s"]))
+        yield _RunEnd(
+            group, step, cause_of_end(line.fields), float(line.fields["ran_s"])
+        )
 
 
 def _read_steps(lines: Iterable[Line]) -> dict[str, _Step]:
@@ -129,7 +131,7 @@
     return f"{job}.{step}"
 
 
-def _cause(fields: dict[str, Any]) -> str:
+def cause_of_end(fields: dict[str, Any]) -> str:
     """Return the cause of a run's end, or '' if it was done."""
     how, why = str(fields["how"]), str(fields.get("why", ""))
     if how == "done":
@@ -181,4 +183,11 @@
     show_rows(rows, ["cause", "runs", "core_s", "unsaved_core_s"], as_json)
 
 
-__all__ = ["WorkTotals", "Loss", "sum_work_by_cause", "waste"]
+__all__ = [
+    "GANG_BROKEN",
+    "Loss",
+    "WorkTotals",
+    "cause_of_end",
+    "sum_work_by_cause",
+    "waste",
+]
--- a/src/hyssoprill/coordination/intake/intake.py
+++ b/src/hyssoprill/coordination/intake/intake.py
@@ -114,6 +114,8 @@
             priority=job.priority,
             steps=[_step_log_fields(step) for step in job.steps],
             times=job.times,
+            stretch=job.stretch,
+            target_latency_ms=job.target_latency_ms,
             took_s=round(boottime_s() - began_s, 4),
         )
 
@@ -245,6 +247,7 @@
         "count": step.count,
         "need": [need.accelerators, need.millicores, need.memory_mb],
         "estimate_ms": step.estimate_ms,
+        "after": step.after,
         "flags": [name for name, is_set in flags.items() if is_set],
         "places": [step.label, step.data_rack, step.max_per_upstream],
     }
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -20,7 +20,7 @@
 from .failures import FailureTracker
 from .fleet import Fleet
 from .orders import OrderPublisher
-from .policy_inputs import PolicyInputs
+from .policy_inputs import PolicyInputs, rack_of
 from .retention import expired_records
 from .runs import StopRequests
 from .speeds import SpeedEstimates
@@ -250,11 +250,13 @@
         for key, upstreams in placements.items():
             number = changes.start_runs(key, upstreams)
             for index, upstream in upstreams.items():
+                report = self._fleet.find(upstream)
                 decision(
                     "run_planned",
                     task=key.task_name(index),
                     run=number,
                     upstream=upstream,
+                    rack=rack_of(report) if report is not None else "",
                     waited_s=round(waited_s[key], 3),
                     term=self._term,
                 )
