Do not let a job wait for a better placement beside an idle pool

By reading, two waits of the policy have no regard to how idle the pool is: a rack-sensitive gang waits for one rack for twice its run time (20 s and more), as any rack could hold it when empty, and long work leaves headroom. With small tasks spread over the racks after a loss of power both last longer than 3 s beside capacity for it twice over. Change: a step that has waited 1.5 s beside a pool with less than half of a resource in use, where it fits twice, takes any rack and any upstream. Ruled out: preemption (nothing to stop for it), exclusions of failing upstreams (relaxed when no other is left). Test: both waits on such a pool, and that a busy pool still waits; the first two fail before.

--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .headroom import exclude_headroom
+from .idle_pool import has_waited_beside_idle_pool
 from .model import Placement, Plan
 from .placement import (
     eligible_upstreams,
@@ -74,8 +75,12 @@
     plan = Plan()
     reservations = 0
     for step in sorted(waiting, key=scheduling_order):
-        candidates = exclude_headroom(step, _candidates(step, upstreams), upstreams)
-        if not candidates or _start_now(step, candidates, plan):
+        is_patient = not has_waited_beside_idle_pool(step, upstreams)
+        candidates = _candidates(step, upstreams, is_patient=is_patient)
+        if is_patient:
+            candidates = exclude_headroom(step, candidates, upstreams)
+        spread = not (is_patient and _waits_for_rack(step))
+        if not candidates or _start_now(step, candidates, plan, spread=spread):
             continue
         stopped = _choose_preemptions(step, candidates, units, reclaim_s)
         if stopped is not None:
@@ -93,14 +98,18 @@
     return step.waited_s < max_wait_s
 
 
-def _candidates(step: WaitingStep, upstreams: list[UpstreamView]) -> list[UpstreamView]:
+def _candidates(
+    step: WaitingStep, upstreams: list[UpstreamView], *, is_patient: bool
+) -> list[UpstreamView]:
     """Return the upstreams on which a step may run now.
 
-    While it may wait for its data's rack, only upstreams there, if any are eligible.
+    While a patient step may wait for its data's rack, these are only upstreams there,
+    if any are eligible.
     """
     candidates = _exclude_failing(step, eligible_upstreams(step, upstreams))
     rack = step.step.data_rack
-    if rack and _waits_for_rack(step) and not step.within_guarantee:
+    is_waiting = is_patient and _waits_for_rack(step)
+    if rack and is_waiting and not step.within_guarantee:
         near = [one for one in candidates if one.rack == rack]
         return near or candidates
     return candidates
@@ -130,10 +139,14 @@
     return candidates
 
 
-def _start_now(step: WaitingStep, candidates: list[UpstreamView], plan: Plan) -> bool:
-    """Add starts for the tasks that fit to `plan`; return whether all tasks fit."""
+def _start_now(
+    step: WaitingStep, candidates: list[UpstreamView], plan: Plan, *, spread: bool
+) -> bool:
+    """Add starts for the tasks that fit to `plan`; return whether all tasks fit.
+
+    `spread` lets a rack-sensitive gang run on several racks.
+    """
     if step.step.gang:
-        spread = not _waits_for_rack(step)
         placed_on = place_gang(step, candidates, free_now, spread=spread) or []
     else:
         placed_on = place_tasks(step, candidates, free_now)
--- /dev/null
+++ b/src/hyssoprill/coordination/policy/dispatch/idle_pool.py
@@ -0,0 +1,53 @@
+"""Ends the wait for a better placement beside a pool that is mostly idle.
+
+Load pattern: after a loss of power the queue is short and small tasks are spread over
+all racks, so that no rack is free for a gang, or the upstreams left free are headroom.
+Waiting for a better placement then keeps a job from running beside idle upstreams.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ....protocol.job import ZERO_AMOUNTS
+
+if TYPE_CHECKING:
+    from .model import UpstreamView, WaitingStep
+
+MAX_IDLE_WAIT_S = 1.5
+"""Longest wait beside an idle pool; RULES, LOST, allows 3 s from when a job could run
+until it does, and a new planner counts from the start of its term."""
+IDLE_SHARE = 0.5
+"""A pool is idle if less than this share of one of its resources is in use."""
+FIT_TIMES = 2
+"""A pool is idle for a step if all its waiting tasks fit this many times."""
+
+
+def has_waited_beside_idle_pool(
+    step: WaitingStep, upstreams: list[UpstreamView]
+) -> bool:
+    """Return whether a step has waited long enough although the pool is idle.
+
+    Parameters
+    ----------
+    upstreams : list of UpstreamView
+        All upstreams of the pool.
+    """
+    if step.waited_s < MAX_IDLE_WAIT_S:
+        return False
+    group = [one for one in upstreams if one.group == step.job.group]
+    wanted = FIT_TIMES * len(step.indices)
+    fits = sum(one.free.fit_count(step.step.need, wanted) for one in group)
+    if fits < wanted:
+        return False
+    capacity = free = ZERO_AMOUNTS
+    for one in group:
+        capacity, free = capacity.plus(one.capacity), free.plus(one.free)
+    return any(
+        left > (1 - IDLE_SHARE) * whole
+        for left, whole in zip(free, capacity, strict=True)
+        if whole
+    )
+
+
+__all__ = ["has_waited_beside_idle_pool"]
