Count the ends that an upstream listed before it left

When an incarnation ends, its agent's next report names its key only; the runs that it had listed as done, and not had acknowledged yet, were closed as gone and started again. A planner whose round takes longer than the time between the two reports never sees the end. Change: an agent keeps the last report of ended incarnations, as long as it names their keys, and sends it along; the planner closes runs by it first, and resumes from the checkpoints it lists. Test: three tests; the done run of a left upstream is repeated without the change.

--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -53,6 +53,8 @@
             numbers = [row.number for row in report.ended]
             if numbers:
                 highest_numbers[report.key] = max(numbers)
+        for report in self.fleet.last_reports():
+            self._close_reported_by(report, changes)
         return highest_numbers
 
     def close_expired(self, changes: StepChanges) -> None:
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -45,6 +45,8 @@
         Newest reports of the upstreams, by key.
     ended_upstreams : frozenset of str
         Keys of upstream incarnations that are known to have ended.
+    last_reports : dict
+        Last reports of some of these, by key.
     """
 
     report_number: int = 0
@@ -54,6 +56,7 @@
     last_grant_s: float = float("-inf")
     upstreams: dict[str, UpstreamReport] = field(default_factory=dict)
     ended_upstreams: frozenset[str] = frozenset()
+    last_reports: dict[str, UpstreamReport] = field(default_factory=dict)
 
 
 class Fleet:
@@ -86,6 +89,7 @@
         self._last_listed_s.update(dict.fromkeys(vm.upstreams, vm.last_contact_s))
         vm.upstreams = {one.key: one for one in report.upstreams}
         vm.ended_upstreams = frozenset(report.ended_keys)
+        vm.last_reports = {one.key: one for one in report.last_reports}
         return vm
 
     def record_contact(self, name: str, agent_clock_s: float) -> VmState:
@@ -105,10 +109,17 @@
         for vm in self.vms.values():
             yield from vm.upstreams.values()
 
+    def last_reports(self) -> Iterator[UpstreamReport]:
+        """Yield the last reports of upstream incarnations that have ended."""
+        for vm in self.vms.values():
+            yield from vm.last_reports.values()
+
     def find(self, key: str) -> UpstreamReport | None:
-        """Return the newest report of an upstream incarnation, if its VM lists it."""
+        """Return the newest, or the last, report of an upstream incarnation."""
         vm = self.vms.get(key.partition("|")[0])
-        return vm.upstreams.get(key) if vm is not None else None
+        if vm is None:
+            return None
+        return vm.upstreams.get(key) or vm.last_reports.get(key)
 
     def latest_checkpoint(self, key: str, task: str, run: int) -> str:
         """Return the checkpoint of a run by the newest report, '' if unknown."""
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -14,6 +14,7 @@
 from ...protocol.upstream_messages import (
     Grant,
     Referral,
+    UpstreamReport,
     VmHeartbeat,
     VmOrders,
     VmReport,
@@ -37,6 +38,8 @@
     PortFactory = Callable[[CheckIn], UpstreamPort]
 
 HEARTBEAT_INTERVAL_S = 0.6
+MAX_ENDED_KEYS = 8
+"""Number of ended incarnations that an agent reports, the newest."""
 PLANNER_SILENCE_S = 1.0
 """After this long without an answer, the agent asks all entries who plans."""
 
@@ -76,6 +79,7 @@
         self._grant = PlannerGrant()
         self._sessions: dict[UpstreamKey, UpstreamSession] = {}
         self._ended_keys: list[UpstreamKey] = []
+        self._last_reports: dict[UpstreamKey, UpstreamReport] = {}
         self._entries = EntryWatcher(store, self._dial_entry)
         self._planner = ""
         self._planner_heard_s = boottime_s()
@@ -145,7 +149,10 @@
         session = self._sessions.pop(key)
         session.gone = True
         self._ended_keys.append(key)
-        del self._ended_keys[:-8]
+        self._last_reports[key] = session.report()
+        for expired in self._ended_keys[:-MAX_ENDED_KEYS]:
+            self._last_reports.pop(expired, None)
+        del self._ended_keys[:-MAX_ENDED_KEYS]
         self._tasks.spawn(session.close())
         self._mark_changed()
 
@@ -259,6 +266,11 @@
                 self._report_number,
                 [session.report() for session in self._sessions.values()],
                 [str(key) for key in self._ended_keys],
+                [
+                    one
+                    for one in self._last_reports.values()
+                    if one.running or one.ended
+                ],
             )
         )
 
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -100,6 +100,8 @@
         Rises with each change of the report.
     ended_keys : list of str
         Keys of upstream incarnations that are known to have ended.
+    last_reports : list of UpstreamReport
+        Last state of some of these, as far as it tells of runs.
     """
 
     vm: str
@@ -107,6 +109,7 @@
     number: int
     upstreams: list[UpstreamReport]
     ended_keys: list[str]
+    last_reports: list[UpstreamReport] = []
 
 
 class VmHeartbeat(Message):
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -109,9 +109,8 @@
         self.draining = False
         self.running: list[RunReport] = []
 
-    def report(self) -> None:
-        self.number += 1
-        upstream = UpstreamReport(
+    def upstream_report(self) -> UpstreamReport:
+        return UpstreamReport(
             self.key,
             "g",
             "zone-a",
@@ -123,8 +122,20 @@
             list(self.closed),
             draining=self.draining,
         )
+
+    def report(self) -> None:
+        self.number += 1
+        upstreams = [self.upstream_report()]
+        self.entry.planner.handle_report(
+            VmReport(self.vm, 1.0, self.number, upstreams, list(self.ended_keys))
+        )
+
+    def leave(self) -> None:
+        """Report that the upstream has left, and its last state."""
+        self.number += 1
+        last = [self.upstream_report()]
         self.entry.planner.handle_report(
-            VmReport(self.vm, 1.0, self.number, [upstream], list(self.ended_keys))
+            VmReport(self.vm, 1.0, self.number, [], [self.key], last)
         )
 
     def heartbeat(self) -> None:
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -210,6 +210,41 @@
     run_scenario(scenario)
 
 
+def test_run_that_ended_as_its_upstream_left_is_not_repeated(run_scenario, make_agent):
+    async def scenario(harness):
+        agents = ("vm-1", "vm-2")
+        entry, (agent, other) = await start_planner(harness, make_agent, *agents)
+        await harness.submit(NAME)
+        task = f"{NAME}.0.0.0"
+        key, run = (await harness.wait_until(entry.ordered_runs))[task]
+        leaving = agent if key == agent.key else other
+        leaving.end(task, run, "done")
+        leaving.leave()
+        job = entry.replica.job_table.jobs[NAME]
+        await harness.wait_until(lambda: job.status == "completed")
+        await asyncio.sleep(0.3)
+        assert task not in entry.ordered_runs()
+
+    run_scenario(scenario)
+
+
+def test_run_resumes_from_the_last_listing_of_an_upstream_that_left(
+    run_scenario, make_agent
+):
+    async def scenario(harness):
+        entry, (agent,) = await start_planner(harness, make_agent, "vm-1")
+        await harness.submit(NAME, Step(need=ONE, checkpoints=True))
+        await harness.wait_until(entry.ordered_runs)
+        agent.running = [RunReport(f"{NAME}.0.0.0", 1, "late", 50)]
+        agent.leave()
+        second = make_agent(entry, "vm-2")
+        second.report()
+        await harness.wait_until(lambda: entry.ordered_runs("vm-2"))
+        assert entry.orders("vm-2")[second.key].runs[0].checkpoint == "late"
+
+    run_scenario(scenario)
+
+
 def test_upstream_that_does_not_accept_gets_no_starts(run_scenario, make_agent):
     async def scenario(harness):
         entry, (agent,) = await start_planner(harness, make_agent, "vm-1")
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -352,6 +352,21 @@
     return [row for report in entry.reports for row in report.upstreams[0].refused]
 
 
+def test_ends_that_an_upstream_listed_are_reported_after_it_has_left():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        key = entry.reports[-1].upstreams[0].key
+        end = EndReport(1, TASK, 1, "done", "")
+        harness.upstream.ended = [end]
+        await harness.wait_until(lambda: entry.reports[-1].upstreams[0].ended == [end])
+        agent.remove_upstream("i-1")
+        await harness.wait_until(lambda: entry.reports[-1].ended_keys == [key])
+        last = entry.reports[-1].last_reports
+        assert [(one.key, one.ended) for one in last] == [(key, [end])]
+
+    run_scenario(scenario)
+
+
 def test_refused_run_is_stopped_first_when_an_earlier_call_was_unanswered():
     async def scenario(harness, agent):
         entry = await start_with_upstream(harness, agent)
