--- a/src/hyssoprill/coordination/policy/dispatch/idle_pool.py
+++ b/src/hyssoprill/coordination/policy/dispatch/idle_pool.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from .model import UpstreamView, WaitingStep
 
-MAX_IDLE_WAIT_S = 1.5
+MAX_IDLE_WAIT_S = 2.4
 """Longest wait beside an idle pool; RULES, LOST, allows 3 s from when a job could run
 until it does, and a new planner counts from the start of its term."""
 IDLE_SHARE = 0.5
