--- a/src/hyssoprill/coordination/policy/dispatch/stalled_runs.py
+++ b/src/hyssoprill/coordination/policy/dispatch/stalled_runs.py
@@ -1,8 +1,9 @@
 """Decides which runs without progress are restarted elsewhere.
 
 Load pattern: all tasks of an upstream stall for some seconds, after which they may or
-may not resume. Runs with checkpoints are restarted at once. Others get time to recover
-in proportion to the work that a restart would lose.
+may not resume. Runs with checkpoints are restarted at once. Others get as much time to
+recover as a restart would cost, so that waiting and restarting together never take
+more than twice the time of the better of the two, however long the stall lasts.
 """
 
 from __future__ import annotations
@@ -12,8 +13,8 @@
 if TYPE_CHECKING:
     from ....protocol.job import Step
 
-STALL_TOLERANCE_SHARE = 0.5
-"""Longest tolerated stall, as a share of the time worked before it."""
+RESTART_S = 1.0
+"""Time that a restart takes besides the work that it loses: the stop and the start."""
 
 
 def should_restart(step: Step, ran_s: float, stalled_s: float) -> bool:
@@ -21,7 +22,7 @@
     if step.checkpoints:
         return True
     worked_s = max(ran_s - stalled_s, 0.0)
-    return stalled_s >= worked_s * STALL_TOLERANCE_SHARE
+    return stalled_s >= worked_s + RESTART_S
 
 
 __all__ = ["should_restart"]
