--- a/src/hyssoprill/coordination/intake/service.py
+++ b/src/hyssoprill/coordination/intake/service.py
@@ -114,7 +114,12 @@
         self.intake = JobIntake(self._store, self.replica, self._relay)
         self.link_url = self._hub.listen(self._address, self._link_port)
         self.election = PlannerElection(
-            self.name, self._incarnation, self.link_url, self._store, self.replica
+            self.name,
+            self._incarnation,
+            self.link_url,
+            self._store,
+            self.replica,
+            append_through_peer=self._relay.append,
         )
         self._planner = Planner(
             self.replica,
@@ -212,8 +217,16 @@
         self._send(sender, await self._relay.handle_request(message))
 
     def _send_referral(self, sender: str) -> None:
+        """Name the planner; none if this entry was and has not read of another."""
         term = self.replica.job_table.term
-        if term is not None:
+        if term is None:
+            return
+        has_ended = (
+            term.incarnation == self._incarnation and self.election.has_stepped_down
+        )
+        if has_ended or self.replica.job_table.is_term_vacant:
+            self._send(sender, Referral(term.term, "", ""))
+        else:
             self._send(sender, Referral(term.term, term.planner, term.link_url))
 
     def _send(self, peer: str, message: Message) -> None:
--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -16,14 +16,16 @@
 )
 from ...logs import decision
 from ...ports.store import Record, Writer
-from ...state.job_table import PLANNER_KEY, Term
+from ...state.job_table import PLANNER_KEY, VACATED_KEY, Term
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Awaitable, Callable, Sequence
 
     from ...ports.store import StorePort
     from .replica import Replica
 
+    AppendThroughPeer = Callable[[Sequence[Record]], Awaitable[int]]
+
 GRANT_WINDOW_S = 1.1
 """A planner may grant leases for this long after its last stored record."""
 CLAIM_AFTER_S = 1.6
@@ -32,6 +34,11 @@
 Must be above `GRANT_WINDOW_S`, so that no two entries grant leases at a time."""
 RENEW_INTERVAL_S = 0.4
 """Interval of renewals; allows two appends to a slow store within `GRANT_WINDOW_S`."""
+HAND_OVER_AFTER_S = 0.5
+"""A planner that cannot reach the store for this long resigns through a peer that can.
+
+Below `GRANT_WINDOW_S`, so that its agents lose no time, and above the time in which a
+call without an answer is repeated."""
 CHECK_INTERVAL_S = 0.1
 APPEND_RETRY_S = 0.1
 
@@ -47,6 +54,8 @@
         Tells this process from earlier ones of the same name.
     replica : Replica
         Tells who the planner is and since when it has been silent.
+    append_through_peer : callable, optional
+        Appends records through another entry.
     """
 
     def __init__(
@@ -56,8 +65,11 @@
         link_url: str,
         store: StorePort,
         replica: Replica,
+        *,
+        append_through_peer: AppendThroughPeer | None = None,
     ) -> None:
         self._name = name
+        self._append_through_peer = append_through_peer
         self._incarnation = incarnation
         self._link_url = link_url
         self._store = store
@@ -73,6 +85,11 @@
         """The term in which this entry is the planner, 0 if it is not."""
         return self._term
 
+    @property
+    def has_stepped_down(self) -> bool:
+        """Whether this entry was the planner and is not any more."""
+        return self._term == 0 and self._sequence > 0
+
     @property
     def may_grant(self) -> bool:
         """Whether leases may be granted: no other entry can have claimed the term."""
@@ -131,12 +148,33 @@
                 raise
             except StoreError as exc:
                 decision("append_retried", term=term, why=str(exc))
+                await self._hand_over_if_cut_off()
                 await asyncio.sleep(APPEND_RETRY_S)
                 continue
             self._last_stored_s = max(self._last_stored_s, began_s)
             self._replica.apply_appended(offset, records)
             return
 
+    async def _hand_over_if_cut_off(self) -> None:
+        """Resign through a peer if the store is out of reach from this entry only.
+
+        The claim of another entry then fences this one as usual, also if it reaches the
+        store again.
+        """
+        if (
+            self._append_through_peer is None
+            or self._replica.store_unreachable_s < HAND_OVER_AFTER_S
+        ):
+            return
+        try:
+            await self._append_through_peer(
+                [Record(VACATED_KEY, msgspec.json.encode(self._term))]
+            )
+        except StoreError as exc:
+            decision("hand_over_failed", term=self._term, why=str(exc))
+            return
+        self._step_down("handed over, as the store is out of reach")
+
     async def _renew(self) -> None:
         """Renew the term when it is due, or step down if another entry has claimed."""
         current = self._replica.job_table.term
@@ -156,7 +194,7 @@
         if self.resigning or replica.end is None or replica.age_s > CLAIM_AFTER_S:
             return False
         current = replica.job_table.term
-        if current is None or current.resigned:
+        if current is None or replica.job_table.is_term_vacant:
             return True
         if current.planner == self._name and current.incarnation != self._incarnation:
             return True
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -21,6 +21,9 @@
 SETTLE_TIME_S = 0.4
 """A new planner starts nothing for this long after the first report, so that urgent
 steps can use the whole fleet and not just the upstreams that reported first."""
+SETTLE_QUIET_S = 0.1
+"""It starts earlier once all VMs with open runs have reported and no other VM has
+reported for the first time for this long."""
 MAX_SILENCE_S = 1.6
 """A VM that has been silent for this long gets no new starts."""
 
@@ -67,11 +70,22 @@
         self.term_began_s = boottime_s()
         self._last_listed_s: dict[str, float] = {}
         self._first_report_s = float("inf")
+        self._last_new_vm_s = float("inf")
+        self._reported_vms: set[str] = set()
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether the VMs have had time to report in this term."""
-        return boottime_s() - self._first_report_s > SETTLE_TIME_S
+    def is_settled(self, expected_vms: set[str]) -> bool:
+        """Return whether the VMs have had time to report in this term.
+
+        Parameters
+        ----------
+        expected_vms : set of str
+            VMs that are known to be there from their runs.
+        """
+        now_s = boottime_s()
+        if now_s - self._first_report_s > SETTLE_TIME_S:
+            return True
+        is_quiet = now_s - self._last_new_vm_s > SETTLE_QUIET_S
+        return is_quiet and expected_vms <= self._reported_vms
 
     def reset(self) -> None:
         """Drop all reports, at the start of a term."""
@@ -79,11 +93,16 @@
         self._last_listed_s.clear()
         self.term_began_s = boottime_s()
         self._first_report_s = float("inf")
+        self._last_new_vm_s = float("inf")
+        self._reported_vms.clear()
 
     def apply_report(self, report: VmReport) -> VmState:
         """Apply a report and return the state of its VM."""
         vm = self.record_contact(report.vm, report.clock_s)
         self._first_report_s = min(self._first_report_s, boottime_s())
+        if report.vm not in self._reported_vms:
+            self._reported_vms.add(report.vm)
+            self._last_new_vm_s = boottime_s()
         vm.report_number = report.number
         vm.last_report_s = vm.last_contact_s
         self._last_listed_s.update(dict.fromkeys(vm.upstreams, vm.last_contact_s))
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -12,7 +12,8 @@
 from ...errors import StoreError
 from ...logs import decision
 from ...ports.store import Record
-from ...protocol.upstream_messages import Grant
+from ...protocol.upstream_key import parse_upstream_key
+from ...protocol.upstream_messages import Grant, Referral
 from ...state.job_table import SIZES_KEY
 from ..policy.dispatch.dispatch import plan_round
 from .changes import StepChanges
@@ -144,6 +145,9 @@
 
     def _begin_term(self) -> None:
         """Adopt the election's term and drop what belongs to the previous one."""
+        if self._term and not self._election.term:
+            for name in self._fleet.vms:
+                self._send(name, Referral(self._term, "", ""))
         self._term = self._election.term
         self._fleet.reset()
         self._stopping.clear()
@@ -224,7 +228,7 @@
             self._waiting_since_s,
         )
         waiting = inputs.waiting_steps(unix_ms())
-        if not waiting or not self._fleet.is_settled:
+        if not waiting or not self._fleet.is_settled(self._vms_with_runs()):
             return
         waited_s = {step.key: step.waited_s for step in waiting}
         plan = self._policy(
@@ -241,6 +245,13 @@
                 )
         self._record_starts(plan, changes, waited_s)
 
+    def _vms_with_runs(self) -> set[str]:
+        return {
+            parse_upstream_key(key).vm
+            for key, runs in self._job_table.open_runs.items()
+            if runs
+        }
+
     def _record_starts(
         self, plan: Plan, changes: StepChanges, waited_s: dict[StepKey, float]
     ) -> None:
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from contextlib import AsyncExitStack
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Self
@@ -38,6 +39,12 @@
     PortFactory = Callable[[CheckIn], UpstreamPort]
 
 HEARTBEAT_INTERVAL_S = 0.6
+SEARCH_INTERVAL_S = 0.1
+"""First interval between reports while no planner has answered, doubled with each up to
+the heartbeat interval. A restarted or newly elected planner answers within tenths of a
+second, and jobs wait for it."""
+MAX_SEARCH_PEERS = 3
+"""Entries that are asked between two heartbeats; all others know who plans as well."""
 MAX_ENDED_KEYS = 8
 """Number of ended incarnations that an agent reports, the newest."""
 PLANNER_SILENCE_S = 1.0
@@ -84,6 +91,7 @@
         self._planner = ""
         self._planner_heard_s = boottime_s()
         self._searching = True
+        self._search_interval_s = SEARCH_INTERVAL_S
         self._report_number = 1
         self._newest_orders = (0, 0)
         self._report_due = asyncio.Event()
@@ -193,10 +201,13 @@
 
     @_handle.register
     async def _(self, message: Referral, sender: str) -> None:
-        if not message.planner or message.planner in (sender, self._planner):
-            return
         if message.term < self._grant.term:
             return
+        if not message.planner and sender == self._planner:
+            self._search_planner()
+            self._report_due.set()
+        if not message.planner or message.planner in (sender, self._planner):
+            return
         self._entries.update(message.planner, message.link_url)
         self._switch_planner(message.planner)
         await self._send_report()
@@ -223,6 +234,7 @@
         """Connect to all entries to find out which one plans."""
         if not self._searching:
             decision("planner_lost", planner=self._planner, term=self._grant.term)
+            self._search_interval_s = SEARCH_INTERVAL_S
         self._searching = True
         self._planner = ""
         for name, url in self._entries.link_urls.items():
@@ -232,7 +244,9 @@
         """Report each change at once, and send heartbeats between changes."""
         while True:
             try:
-                await asyncio.wait_for(self._report_due.wait(), HEARTBEAT_INTERVAL_S)
+                await asyncio.wait_for(
+                    self._report_due.wait(), self._report_interval_s()
+                )
             except TimeoutError:
                 pass
             if any(
@@ -245,7 +259,7 @@
             self._remove_ended_sessions()
             if boottime_s() - self._planner_heard_s > PLANNER_SILENCE_S:
                 self._search_planner()
-            if changed or not self._planner:
+            if changed or self._searching:
                 await self._send_report()
             else:
                 await self._send(
@@ -254,6 +268,14 @@
                     )
                 )
 
+    def _report_interval_s(self) -> float:
+        """Return how long to wait for a change, shorter while a search begins."""
+        if not self._searching:
+            return HEARTBEAT_INTERVAL_S
+        interval_s = self._search_interval_s
+        self._search_interval_s = min(2 * interval_s, HEARTBEAT_INTERVAL_S)
+        return interval_s
+
     def _remove_ended_sessions(self) -> None:
         for key in [key for key, session in self._sessions.items() if session.gone]:
             self._end_session(key, "its session has ended")
@@ -275,11 +297,17 @@
         )
 
     async def _send(self, message: Message) -> None:
-        """Send to the planner, or to all entries while the planner is unknown."""
+        """Send to the planner, or to other entries while the planner is unknown.
+
+        Where many entries could answer, only some are asked between two heartbeats.
+        """
         if self._planner:
             await self._hub.send(self._planner, message)
             return
-        for name in self._entries.link_urls:
+        names = list(self._entries.link_urls)
+        if self._search_interval_s < HEARTBEAT_INTERVAL_S:
+            names = random.sample(names, min(len(names), MAX_SEARCH_PEERS))
+        for name in names:
             self._tasks.spawn(self._hub.send(name, message))
 
     # Entries
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -198,7 +198,7 @@
 
 
 class Referral(Message):
-    """Names the entry that is the planner, as far as the sender knows."""
+    """Names the entry that is the planner, as far as the sender knows; '' for none."""
 
     term: int
     planner: str
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -27,6 +27,7 @@
 CANCEL_PREFIX = "cancel/"
 STEP_PREFIX = "step/"
 PLANNER_KEY = "planner"
+VACATED_KEY = "vacated"
 SIZES_KEY = "sizes"
 
 JobStatus = Literal["queued", "running", "completed", "failed", "cancelled"]
@@ -215,6 +216,9 @@
         For each upstream key its open runs by task name.
     term : Term or None
         The newest planner's term that was read.
+    vacated_term : int
+        The highest term whose planner has handed it over through a peer. Such a record
+        is not fenced and may be stored late, so it never replaces that of a planner.
     known_capacities : KnownCapacities
         Largest capacities of upstreams that were seen.
     """
@@ -224,11 +228,18 @@
         self.active: dict[str, JobState] = {}
         self.open_runs: dict[str, dict[str, OpenRun]] = defaultdict(dict)
         self.term: Term | None = None
+        self.vacated_term = 0
         self.known_capacities = KnownCapacities()
         self._offsets: dict[str, int] = {}
         # Records of jobs whose own record was not read yet, by job id.
         self._orphans: dict[str, list[tuple[int, str, bytes]]] = defaultdict(list)
 
+    @property
+    def is_term_vacant(self) -> bool:
+        """Whether no planner holds the newest term any more, by its own word."""
+        term = self.term
+        return term is None or term.resigned or term.term <= self.vacated_term
+
     def apply(self, offset: int, key: str, value: bytes) -> bool:
         """Apply a record; return whether it was newer than the known one of its key.
 
@@ -246,6 +257,9 @@
     def _apply(self, offset: int, key: str, value: bytes) -> None:
         if key == PLANNER_KEY:
             self.term = msgspec.json.decode(value, type=Term)
+        elif key == VACATED_KEY:
+            vacated = msgspec.json.decode(value, type=int)
+            self.vacated_term = max(self.vacated_term, vacated)
         elif key == SIZES_KEY:
             self.known_capacities = msgspec.json.decode(value, type=KnownCapacities)
         elif key.startswith(JOB_PREFIX):
@@ -333,6 +347,7 @@
     "PLANNER_KEY",
     "SIZES_KEY",
     "STEP_PREFIX",
+    "VACATED_KEY",
     "WAITING",
     "JobState",
     "JobStatus",
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -36,7 +36,9 @@
 class PlanningEntry:
     """Replica, election and planner of one entry, and the messages that it has sent."""
 
-    def __init__(self, name: str, store: MemoryStore) -> None:
+    def __init__(
+        self, name: str, store: MemoryStore, append_through_peer: Any = None
+    ) -> None:
         self.name = name
         self.sent: list[tuple[str, Any]] = []
         self.directory = OperatorConfig(
@@ -44,7 +46,12 @@
         )
         self.replica = Replica(store, self._changed)
         self.election = PlannerElection(
-            name, f"{name}-1", f"tcp://{name}", store, self.replica
+            name,
+            f"{name}-1",
+            f"tcp://{name}",
+            store,
+            self.replica,
+            append_through_peer=append_through_peer,
         )
         self.planner = Planner(
             self.replica,
@@ -155,8 +162,9 @@
         self.store = MemoryStore()
         self.entries: list[PlanningEntry] = []
 
-    def entry(self, name: str) -> PlanningEntry:
-        entry = PlanningEntry(name, self.store)
+    def entry(self, name: str, **fields: Any) -> PlanningEntry:
+        """Start an entry; `store` in `fields` is one of its own view of the store."""
+        entry = PlanningEntry(name, fields.pop("store", self.store), **fields)
         self.entries.append(entry)
         entry.start()
         return entry
--- a/tests/coordination/planner/test_election.py
+++ b/tests/coordination/planner/test_election.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+from standins.job_store import MemoryStore
+
+from hyssoprill.coordination.planner import election
 from hyssoprill.ports.store import Record, Writer
+from hyssoprill.state.job_table import VACATED_KEY
 
 
 def test_exactly_one_of_several_entries_is_elected(run_scenario):
@@ -119,3 +123,53 @@
         await harness.wait_until(lambda: second.replica.age_s < 1.0)
 
     run_scenario(scenario)
+
+
+async def start_with_a_peer(harness):
+    """Return a planner with its own link to the store, that link, and a peer."""
+    link = MemoryStore()
+    link.topics = harness.store.topics
+    first = harness.entry(
+        "entry-1",
+        store=link,
+        append_through_peer=lambda records: harness.store.append("jobs", records),
+    )
+    await harness.wait_until(lambda: first.election.term == 1)
+    second = harness.entry("entry-2")
+    await harness.wait_until(lambda: second.replica.end is not None)
+    return first, link, second
+
+
+def test_planner_cut_off_from_the_store_hands_over_before_its_grants_end(run_scenario):
+    async def scenario(harness):
+        first, link, second = await start_with_a_peer(harness)
+        link.down = True
+        await harness.wait_until(
+            lambda: second.election.term == 2, timeout_s=election.GRANT_WINDOW_S
+        )
+        assert first.election.term == 0
+
+    run_scenario(scenario)
+
+
+def test_planner_stays_while_no_peer_reaches_the_store(run_scenario):
+    async def scenario(harness):
+        first, link, second = await start_with_a_peer(harness)
+        link.down = harness.store.down = True
+        await asyncio.sleep(2 * election.HAND_OVER_AFTER_S)
+        assert (first.election.term, second.election.term) == (1, 0)
+
+    run_scenario(scenario)
+
+
+def test_late_hand_over_of_an_old_term_does_not_vacate_a_newer_one(run_scenario):
+    async def scenario(harness):
+        first, link, second = await start_with_a_peer(harness)
+        link.down = True
+        await harness.wait_until(lambda: second.election.term == 2)
+        await harness.store.append("jobs", [Record(VACATED_KEY, b"1")])
+        third = harness.entry("entry-3")
+        await asyncio.sleep(0.5)
+        assert [one.election.term for one in (first, second, third)] == [0, 2, 0]
+
+    run_scenario(scenario)
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -9,7 +9,10 @@
 
 from hyssoprill.clock import boottime_s
 from hyssoprill.coordination.upstream import session as session_module
-from hyssoprill.coordination.upstream.vm_agent import VmAgent
+from hyssoprill.coordination.upstream.vm_agent import (
+    HEARTBEAT_INTERVAL_S,
+    VmAgent,
+)
 from hyssoprill.errors import UpstreamSilentError, UpstreamUnreachedError
 from hyssoprill.ports.store import Record
 from hyssoprill.ports.upstream import (
@@ -327,6 +330,32 @@
     run_scenario(scenario)
 
 
+def test_agent_finds_a_planner_soon_after_its_election():
+    async def scenario(harness, agent):
+        entry = await harness.add_entry("entry-1")
+        entry.is_planner = False
+        agent.handle_check_in(check_in())
+        await harness.wait_until(lambda: entry.reports)
+        entry.is_planner = True
+        entry.reports.clear()
+        await harness.wait_until(lambda: entry.reports, HEARTBEAT_INTERVAL_S / 2)
+
+    run_scenario(scenario)
+
+
+def test_agent_searches_at_once_when_its_planner_has_stepped_down():
+    async def scenario(harness, agent):
+        first = await start_with_upstream(harness, agent)
+        second = await harness.add_entry("entry-2")
+        await harness.wait_until(lambda: "entry-2" in agent._entries.link_urls)
+        first.is_planner, first.referral = False, Referral(1, "", "")
+        second.term = 2
+        await first.hub.send("vm-1", first.referral)
+        await harness.wait_until(lambda: second.reports, HEARTBEAT_INTERVAL_S / 2)
+
+    run_scenario(scenario)
+
+
 def test_check_in_of_an_earlier_incarnation_is_refused():
     async def scenario(harness, agent):
         await start_with_upstream(harness, agent)
