--- /dev/null
+++ b/src/hyssoprill/coordination/upstream/departure.py
@@ -0,0 +1,58 @@
+"""Tells when an upstream that no longer listens has ended.
+
+An upstream that leaves at short notice, or crashes, says no goodbye. Its agent runs on
+the same VM: a refused connection there shows that no process listens, unlike silence.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...clock import boottime_s
+
+if TYPE_CHECKING:
+    from ...ports.upstream import CheckIn
+
+MIN_REFUSED_S = 0.5
+"""Connections have to be refused for this long; covers a restart of the listener."""
+MAX_CHECK_IN_AGE_S = 4.0
+"""An upstream that runs checks in at least this often; twice the usual interval of
+1.5 s, and a second for the answer."""
+
+
+class DepartureWatch:
+    """Watches whether an upstream still listens and checks in."""
+
+    def __init__(self) -> None:
+        self._checked_in_s = boottime_s()
+        self._refused_since_s: float | None = None
+
+    def record_check_in(self) -> None:
+        """Record that the upstream has checked in."""
+        self._checked_in_s = boottime_s()
+
+    def record_call(self, *, refused: bool) -> None:
+        """Record whether the connection of a call was refused."""
+        if not refused:
+            self._refused_since_s = None
+        elif self._refused_since_s is None:
+            self._refused_since_s = boottime_s()
+
+    def has_ended(self, check_in: CheckIn) -> bool:
+        """Return whether the upstream must have ended, by its newest check-in.
+
+        One that drains may end once the time is over that it said it would stay. Any
+        other has crashed if it does not check in either.
+        """
+        now_s = boottime_s()
+        if self._refused_since_s is None:
+            return False
+        if now_s - self._refused_since_s < MIN_REFUSED_S:
+            return False
+        stays_s = MAX_CHECK_IN_AGE_S
+        if check_in.draining:
+            stays_s = min(max(check_in.remaining_ms, 0) / 1000, stays_s)
+        return now_s - self._checked_in_s >= stays_s
+
+
+__all__ = ["DepartureWatch"]
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -8,6 +8,7 @@
 from ...clock import boottime_s
 from ...errors import (
     UpstreamGoneError,
+    UpstreamNotListeningError,
     UpstreamSilentError,
     UpstreamUnreachedError,
 )
@@ -15,6 +16,7 @@
 from ...ports.upstream import RUN_ALREADY_ENDED
 from ...protocol.upstream_messages import UpstreamOrders, UpstreamReport
 from ...tasks import TaskSet
+from .departure import DepartureWatch
 from .lease import MIN_LEASE_S, LeaseTracker
 from .progress import ProgressTracker, RunKey, run_key
 
@@ -85,6 +87,7 @@
         self._closed: set[RunKey] = set()
         self._refused: dict[RunKey, str] = {}
         self._in_doubt: set[RunKey] = set()
+        self._departure = DepartureWatch()
         self._listing: RunListing | None = None
         self._listing_sent_s = float("-inf")
         self._tasks = TaskSet()
@@ -99,6 +102,7 @@
         """Apply a newer check-in of the same incarnation."""
         changed = not check_in.has_same_state(self.check_in)
         self.check_in = check_in
+        self._departure.record_check_in()
         if changed:
             self._on_change()
 
@@ -293,6 +297,12 @@
                 self._end_incarnation("another incarnation answered")
                 return
             except UpstreamSilentError as exc:
+                self._departure.record_call(
+                    refused=isinstance(exc, UpstreamNotListeningError)
+                )
+                if self._departure.has_ended(self.check_in):
+                    self._end_incarnation("it no longer listens")
+                    return
                 if not isinstance(exc, UpstreamUnreachedError):
                     self._lease_tracker.record_extension(
                         sent_s + RENEW_TIMEOUT_S, lease_s
@@ -303,6 +313,7 @@
                     return
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            self._departure.record_call(refused=False)
             self._lease_tracker.record_extension(sent_s + RENEW_TIMEOUT_S, lease_s)
             self._apply_listing(listing, sent_s)
             await asyncio.sleep(MIN_RENEW_INTERVAL_S)
--- a/src/hyssoprill/errors.py
+++ b/src/hyssoprill/errors.py
@@ -150,6 +150,10 @@
     """No connection to an upstream was made, so that nothing was sent."""
 
 
+class UpstreamNotListeningError(UpstreamUnreachedError):
+    """The upstream's VM answered that nothing listens at the upstream's address."""
+
+
 class WorkerError(HyssoprillError):
     """The worker refused an operation or gave an unusable answer."""
 
--- a/src/hyssoprill/transport/http_channel.py
+++ b/src/hyssoprill/transport/http_channel.py
@@ -63,6 +63,10 @@
         self.finished = True
 
 
+class NotListeningError(ConnectionRefusedError):
+    """The server's host answered that nothing listens at the port."""
+
+
 class HttpChannel:
     """HTTP client for one server with a pool of idle connections.
 
@@ -95,7 +99,8 @@
         Raises
         ------
         ConnectionRefusedError
-            If no connection was established, so that nothing was sent.
+            If no connection was established, so that nothing was sent; of its subclass
+            `NotListeningError` where the host refused it.
         OSError
             If no complete response arrived within the timeout.
         """
@@ -121,8 +126,11 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 stream = await self._tcp.connect(self._host, self._port)
         except (TimeoutError, StreamClosedError, OSError) as exc:
-            raise ConnectionRefusedError(
-                f"no connection to {self._address}: {exc}"
+            cause = exc.real_error if isinstance(exc, StreamClosedError) else exc
+            is_refused = isinstance(cause, ConnectionRefusedError)
+            error_type = NotListeningError if is_refused else ConnectionRefusedError
+            raise error_type(
+                f"no connection to {self._address}: {cause or exc}"
             ) from exc
         stream.set_nodelay(True)
         return stream
@@ -165,4 +173,4 @@
         return True
 
 
-__all__ = ["Answer", "HttpChannel"]
+__all__ = ["Answer", "HttpChannel", "NotListeningError"]
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -5,12 +5,18 @@
 import asyncio
 from typing import Any
 
+import pytest
 from standins.job_store import MemoryStore
 
 from hyssoprill.clock import boottime_s
+from hyssoprill.coordination.upstream import departure
 from hyssoprill.coordination.upstream import session as session_module
 from hyssoprill.coordination.upstream.vm_agent import VmAgent
-from hyssoprill.errors import UpstreamSilentError, UpstreamUnreachedError
+from hyssoprill.errors import (
+    UpstreamNotListeningError,
+    UpstreamSilentError,
+    UpstreamUnreachedError,
+)
 from hyssoprill.ports.store import Record
 from hyssoprill.ports.upstream import (
     RUN_ALREADY_ENDED,
@@ -62,6 +68,7 @@
         self.ended: list[EndReport] = []
         self.answers_renewals = True
         self.is_reachable = True
+        self.is_listening = True
         self.leases: list[int | None] = []
         self.clock_ms = 1_000_000
 
@@ -88,6 +95,8 @@
     async def renew_lease(
         self, *, term, stored_upto, lease_until_ms, wait_s, timeout_s
     ):
+        if not self.is_listening:
+            raise UpstreamNotListeningError("refused")
         if not self.is_reachable:
             raise UpstreamUnreachedError("no connection")
         self.leases.append(lease_until_ms)
@@ -469,6 +478,31 @@
     run_scenario(scenario)
 
 
+def test_draining_upstream_that_no_longer_listens_is_reported_gone_at_once():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        await harness.wait_until(lambda: any(harness.upstream.leases))
+        agent.handle_check_in(check_in(sequence=2, draining=True, remaining_ms=300))
+        harness.upstream.is_listening = False
+        await harness.wait_until(lambda: entry.reports[-1].ended_keys, 2.0)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("age_s", [0.0, 10.0])
+def test_upstream_that_no_longer_listens_is_gone_once_its_check_ins_stop(
+    monkeypatch, age_s
+):
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        monkeypatch.setattr(departure, "MAX_CHECK_IN_AGE_S", 5.0 - age_s)
+        harness.upstream.is_listening = False
+        await asyncio.sleep(2 * departure.MIN_REFUSED_S)
+        assert bool(entry.reports[-1].ended_keys) == (age_s > 5.0)
+
+    run_scenario(scenario)
+
+
 def test_lease_of_a_draining_upstream_is_short():
     async def scenario(harness, agent):
         await start_with_upstream(harness, agent)
