Count the waves of wide steps in the objective of a job

Change: the objective's critical path multiplies a step's estimate by its waves; what is left to run counts once, as before.

--- a/bench/durable/load.py
+++ b/bench/durable/load.py
@@ -39,6 +39,8 @@
         progress, have data on a rack, or are cancelled while they run.
     estimate_error : float
         Estimates differ by up to this part from the work.
+    estimate_spread : float
+        If not 0, estimates are off by a lognormal factor with this spread instead.
     failing_share, hopeless_share : float
         Parts of the runs that fail, and of the jobs that always do.
     """
@@ -62,6 +64,7 @@
     located_share: float = 0.0
     cancelled_share: float = 0.0
     estimate_error: float = 0.5
+    estimate_spread: float = 0.0
     failing_share: float = 0.02
     hopeless_share: float = 0.0
     max_attempts: int = 4
@@ -298,11 +301,43 @@
         "memory_mb": 8_200,
     },
 )
+_ROUGH_CLASSES = _wider(
+    CLASSES,
+    survey={
+        "per_s": 0.26,
+        "work_s": (22.0, 0.3, 22.0),
+        "width": (1.5, 0.8, 9.0),
+        "millicores": 52_000,
+        "memory_mb": 75_000,
+        "gang_share": 0.6,
+        "located_share": 0.0,
+        "estimate_spread": 0.7,
+    },
+    quote={
+        "per_s": 0.24,
+        "width": (3.4, 0.8, 21.0),
+        "millicores": 15_000,
+        "memory_mb": 31_000,
+        "gang_share": 0.6,
+        "estimate_spread": 0.7,
+    },
+    list={
+        "per_s": 0.125,
+        "millicores": 11_000,
+        "located_share": 0.0,
+        "estimate_spread": 0.5,
+    },
+)
 _TEN_GUARANTEES = (70, 49, 38, 30, 25, 21, 17, 15, 12, 11)
 """Accelerators guaranteed to ten workspaces, 0.62 of 58 upstreams."""
 
 POOLS = {
     "small": Pool(),
+    "rough": Pool(
+        classes=_ROUGH_CLASSES,
+        capacity=ResourceAmounts(8, 128_000, 262_144),
+        speeds=(1.0,),
+    ),
     "grown": Pool(
         58,
         58,
@@ -364,6 +399,13 @@
     return min(rng.lognormvariate(math.log(mean) - spread**2 / 2, spread), most)
 
 
+def _estimate_factor(rng: random.Random, kind: JobClass) -> float:
+    """Return by which factor the estimate of a step is off."""
+    if kind.estimate_spread:
+        return rng.lognormvariate(0.0, kind.estimate_spread)
+    return rng.uniform(1 - kind.estimate_error, 1 + kind.estimate_error)
+
+
 def _job(rng: random.Random, kind: JobClass, pool: Pool, at_s: float) -> LoadJob:
     accelerators = rng.choice(kind.accelerators)
     saves = rng.random() < kind.saving_share and kind.priority > 0
@@ -383,7 +425,7 @@
         for index in range(count):
             spread = rng.uniform(1 - TASK_SPREAD, 1 + TASK_SPREAD)
             work_s[number, index] = mean_s * spread
-        error = rng.uniform(1 - kind.estimate_error, 1 + kind.estimate_error)
+        error = _estimate_factor(rng, kind)
         steps.append(
             Step(
                 count=count,
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -21,7 +21,7 @@
 from .runs import elapsed_s
 
 if TYPE_CHECKING:
-    from ...protocol.job import Step
+    from ...protocol.job import ResourceAmounts, Step
     from ...protocol.upstream_messages import UpstreamReport
     from ...state.job_table import JobState, JobTable, StepState
     from ...state.operator_config import OperatorConfig
@@ -34,6 +34,10 @@
 """A job is not placed again on an upstream where this many of its runs have failed."""
 LONG_RUNNING_RESTART_S = 5.0
 """Typical interruption of a preempted long-running task: stop, placement and start."""
+WAVE_SHARE = 0.25
+"""Share of the tasks of a step that fit into the pool of which its objective counts
+one wave; from RULES, "Payoff"."""
+MAX_FIT_COUNT = 1000
 RACK_LABEL_INDEX = 1
 """Index of the rack in an upstream's labels."""
 
@@ -50,6 +54,9 @@
     speeds: SpeedEstimates
     waiting_since_s: dict[StepKey, float]
     _guaranteed_jobs: set[str] = field(init=False)
+    _fit_counts: dict[tuple[str, ResourceAmounts], int] = field(
+        init=False, default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         self._guaranteed_jobs = self._find_guaranteed_jobs()
@@ -129,7 +136,7 @@
                         indices,
                         _count_tasks_per_upstream(state),
                         now_s - since_s,
-                        _slack_s(job_state, occurrence, now_ms),
+                        self._slack_s(job_state, occurrence, now_ms),
                         within_guarantee=job_state.job.id in self._guaranteed_jobs,
                         deprioritized_upstreams=self.failures.failed_upstreams(
                             job_state.job.id
@@ -211,6 +218,49 @@
         percent = self.fleet.progress_percent(task.upstream, *run)
         return estimate_remaining_s(step, elapsed_s(task), percent)
 
+    def _slack_s(self, job_state: JobState, occurrence: int, now_ms: int) -> float:
+        """Return how long the rest of a job can wait and still meet its objective."""
+        job = job_state.job
+        path_ms = self._critical_path_ms(job_state, occurrence)
+        remaining_ms = self._critical_path_ms(
+            job_state, occurrence, remaining_only=True
+        )
+        start_ms = max(job.accepted_ms, job.due_ms(occurrence))
+        objective_ms = start_ms + job.stretch * path_ms + job.target_latency_ms
+        return (objective_ms - remaining_ms - now_ms) / 1000
+
+    def _critical_path_ms(
+        self, job_state: JobState, occurrence: int, *, remaining_only: bool = False
+    ) -> float:
+        """Return the estimated critical path of all steps, or of those not done yet.
+
+        For all steps it is the path that the objective counts: a wide step takes it
+        several waves. Those not done yet count once, as they can run at one time.
+        """
+        job = job_state.job
+        ends: list[float] = []
+        for number, step in enumerate(job.steps):
+            state = job_state.steps.get((occurrence, number))
+            if not remaining_only:
+                own_ms = step.estimate_ms * self._waves(job.group, step)
+            elif state is not None and state.is_done:
+                own_ms = 0
+            else:
+                own_ms = step.estimate_ms
+            ends.append(own_ms + max((ends[one] for one in step.after), default=0))
+        return max(ends, default=0)
+
+    def _waves(self, group: str, step: Step) -> float:
+        """Return in how many waves the objective lets a step run."""
+        key = (group, step.need)
+        if key not in self._fit_counts:
+            self._fit_counts[key] = sum(
+                one.capacity.fit_count(step.need, MAX_FIT_COUNT)
+                for one in self.fleet.reports()
+                if one.group == group
+            )
+        return max(step.count / max(self._fit_counts[key] * WAVE_SHARE, 1.0), 1.0)
+
     def _find_guaranteed_jobs(self) -> set[str]:
         """Return the ids of urgent jobs covered by guarantees, oldest jobs first.
 
@@ -275,35 +325,4 @@
     return max_failures > 0 and max_failures + 1 >= job_state.job.max_attempts
 
 
-def _slack_s(job_state: JobState, occurrence: int, now_ms: int) -> float:
-    """Return how long the rest of a job can wait and still meet its objective."""
-    job = job_state.job
-    critical_path_ms = _critical_path_ms(
-        job.steps, job_state, occurrence, remaining_only=False
-    )
-    remaining_ms = _critical_path_ms(
-        job.steps, job_state, occurrence, remaining_only=True
-    )
-    start_ms = max(job.accepted_ms, job.due_ms(occurrence))
-    objective_ms = start_ms + job.stretch * critical_path_ms + job.target_latency_ms
-    return (objective_ms - remaining_ms - now_ms) / 1000
-
-
-def _critical_path_ms(
-    steps: tuple[Step, ...],
-    job_state: JobState,
-    occurrence: int,
-    *,
-    remaining_only: bool,
-) -> int:
-    """Return the estimated critical path of all steps, or of those not done yet."""
-    ends: list[int] = []
-    for number, step in enumerate(steps):
-        state = job_state.steps.get((occurrence, number))
-        done = remaining_only and state is not None and state.is_done
-        own_ms = 0 if done else step.estimate_ms
-        ends.append(own_ms + max((ends[one] for one in step.after), default=0))
-    return max(ends, default=0)
-
-
 __all__ = ["PolicyInputs", "rack_of"]
