--- a/src/hyssoprill/coordination/planner/changes.py
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -89,6 +89,7 @@
         checkpoint: str,
         *,
         max_attempts: int,
+        ran_ms: int = 0,
     ) -> None:
         """Close the open run of a task.
 
@@ -101,6 +102,8 @@
             How the run ended; `done` and `failed` change more than the phase.
         checkpoint : str
             Checkpoint that the run has saved, or ''.
+        ran_ms : int
+            Run time to keep with a done task, 0 for none.
         """
         step = self._step(key)
         tasks = self._editable_tasks(key)
@@ -108,7 +111,9 @@
         if outcome == "done":
             done = range(len(tasks)) if step.gang else (index,)
             for one in done:
-                tasks[one] = TaskState(DONE, tasks[one].run)
+                tasks[one] = TaskState(
+                    DONE, tasks[one].run, ran_ms=ran_ms if one == index else 0
+                )
             return
         failures = task.failures
         failed_run = task.last_failed_run
--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -8,6 +8,7 @@
 from ...clock import boottime_s
 from ...logs import decision
 from ...state.job_table import OPEN
+from .policy_inputs import rack_of
 from .runs import elapsed_s
 
 if TYPE_CHECKING:
@@ -17,11 +18,12 @@
     from .changes import StepChanges
     from .failures import FailureTracker
     from .fleet import Fleet
+    from .run_times import RunTimes
     from .runs import StopRequests
     from .speeds import SpeedEstimates
 
 IMMEDIATE_FAILURE_SHARE = 0.05
-"""A run that fails within this share of its estimate counts as an immediate failure."""
+"""A run that fails within this share of its run time counts as an immediate failure."""
 MIN_IMMEDIATE_FAILURE_S = 0.2
 """Minimum of that limit; covers sending the order, the start and the report."""
 CHECKPOINT_INTERVAL_S = 1.0
@@ -37,6 +39,7 @@
     stopping: StopRequests
     failures: FailureTracker
     speeds: SpeedEstimates
+    run_times: RunTimes
     _checkpoints_recorded_s: float = field(default_factory=boottime_s)
 
     def close_reported(self, changes: StepChanges) -> dict[str, int]:
@@ -94,16 +97,38 @@
             if run is not None and run.run == number:
                 self._close(changes, report.key, task, run, outcome, checkpoint)
 
-    def _record_speed(self, upstream: str, step: Step, task: TaskState) -> None:
+    def _record_speed(self, upstream: str, run: OpenRun, ran_s: float) -> None:
         """Record the speed of a completed run, unless it says little of its upstream.
 
         Excluded are gangs, which run as fast as their slowest member, resumed runs,
         which did only part of the work, and tasks with a data rack, which are slow on
         all upstreams of other racks.
         """
-        if step.gang or step.data_rack or task.checkpoint:
+        job_state = self.job_table.jobs[run.step.job_id]
+        step = job_state.job.steps[run.step.step]
+        if not ran_s or step.gang:
             return
-        self.speeds.record_run(upstream, step.estimate_ms / 1000, elapsed_s(task))
+        state = job_state.step_state(run.step.occurrence, run.step.step)
+        expected_s = self.run_times.expected_s(job_state.job, step, state)
+        self.speeds.record_run(upstream, expected_s, ran_s)
+
+    def _undisturbed_s(
+        self, step: Step, tasks: tuple[TaskState, ...], index: int
+    ) -> float:
+        """Return the time that a run took, 0 where that says little of its task.
+
+        A resumed run did only part of the work, and a run away from its data, or in a
+        gang on several racks, was slowed by its placement.
+        """
+        task = tasks[index]
+        if task.checkpoint or step.long_running or step.data_rack:
+            return 0.0
+        if step.gang and step.rack_sensitive:
+            reports = [self.fleet.find(one.upstream) for one in tasks]
+            racks = {rack_of(one) for one in reports if one is not None}
+            if len(racks) != 1:
+                return 0.0
+        return elapsed_s(task)
 
     def _close(
         self,
@@ -117,22 +142,35 @@
         before = changes.task(run.step, run.index)
         if before.phase != OPEN:
             return
-        job = self.job_table.jobs[run.step.job_id].job
+        job_state = self.job_table.jobs[run.step.job_id]
+        job = job_state.job
+        step = job.steps[run.step.step]
+        ran_s = 0.0
+        if outcome == "done":
+            ran_s = self._undisturbed_s(step, changes.tasks(run.step), run.index)
         changes.end_run(
-            run.step, run.index, outcome, checkpoint, max_attempts=job.max_attempts
+            run.step,
+            run.index,
+            outcome,
+            checkpoint,
+            max_attempts=job.max_attempts,
+            ran_ms=round(ran_s * 1000),
         )
         if outcome == "done":
             self.failures.record_success(upstream, boottime_s() - elapsed_s(before))
-            self._record_speed(upstream, job.steps[run.step.step], before)
+            self._record_speed(upstream, run, ran_s)
+            if ran_s:
+                self.run_times.record_run(job, step, ran_s)
         elif outcome == "failed":
-            estimate_s = job.steps[run.step.step].estimate_ms / 1000
+            state = job_state.step_state(run.step.occurrence, run.step.step)
+            expected_s = self.run_times.expected_s(job, step, state)
             self.failures.record_failure(
                 upstream,
                 job.id,
                 run.run,
                 boottime_s(),
                 immediate=elapsed_s(before)
-                < max(estimate_s * IMMEDIATE_FAILURE_SHARE, MIN_IMMEDIATE_FAILURE_S),
+                < max(expected_s * IMMEDIATE_FAILURE_SHARE, MIN_IMMEDIATE_FAILURE_S),
             )
         elif outcome.startswith("refused"):
             self.failures.record_refusal(run.step, boottime_s())
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -22,6 +22,7 @@
 from .orders import OrderPublisher
 from .policy_inputs import PolicyInputs, rack_of
 from .retention import expired_records
+from .run_times import RunTimes
 from .runs import StopRequests
 from .speeds import SpeedEstimates
 from .stopping import StopFinder
@@ -86,9 +87,10 @@
         self._stopping = StopRequests()
         self._failures = FailureTracker()
         self._speeds = SpeedEstimates()
+        self._run_times = RunTimes(self._job_table, self._fleet)
         shared = (self._job_table, self._fleet, self._stopping)
-        self._closer = RunCloser(*shared, self._failures, self._speeds)
-        self._stop_finder = StopFinder(*shared, self._failures)
+        self._closer = RunCloser(*shared, self._failures, self._speeds, self._run_times)
+        self._stop_finder = StopFinder(*shared, self._failures, self._run_times)
         self._orders = OrderPublisher(*shared, send)
         self._waiting_since_s: dict[StepKey, float] = {}
         self._last_drop_s = boottime_s()
@@ -148,6 +150,7 @@
         self._fleet.reset()
         self._stopping.clear()
         self._orders.clear()
+        self._run_times.rebuild()
 
     # Rounds
 
@@ -207,6 +210,9 @@
         self._last_drop_s = boottime_s()
         self._failures.retain(set(self._job_table.active), self._last_drop_s)
         self._speeds.retain({one.key for one in self._fleet.reports()})
+        self._run_times.model.retain(
+            {one.job.queue for one in self._job_table.jobs.values()}
+        )
         records = expired_records(self._job_table, self._state_kept_s)
         if records:
             await self._election.append(records)
@@ -221,6 +227,7 @@
             self._stopping,
             self._failures,
             self._speeds,
+            self._run_times,
             self._waiting_since_s,
         )
         waiting = inputs.waiting_steps(unix_ms())
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -10,7 +10,6 @@
 from ...protocol.job import ZERO_AMOUNTS
 from ...protocol.upstream_messages import FULL_PROGRESS_PERCENT
 from ...state.job_table import OPEN, WAITING, StepKey
-from ..policy.dispatch.draining import estimate_remaining_s
 from ..policy.dispatch.model import (
     RunningUnit,
     UpstreamView,
@@ -27,6 +26,7 @@
     from ...state.operator_config import OperatorConfig
     from .failures import FailureTracker
     from .fleet import Fleet
+    from .run_times import RunTimes
     from .runs import StopRequests
     from .speeds import SpeedEstimates
 
@@ -52,6 +52,7 @@
     stopping: StopRequests
     failures: FailureTracker
     speeds: SpeedEstimates
+    run_times: RunTimes
     waiting_since_s: dict[StepKey, float]
     _guaranteed_jobs: set[str] = field(init=False)
     _fit_counts: dict[tuple[str, ResourceAmounts], int] = field(
@@ -137,6 +138,7 @@
                         _count_tasks_per_upstream(state),
                         now_s - since_s,
                         self._slack_s(job_state, occurrence, now_ms),
+                        self.run_times.expected_s(job_state.job, step, state),
                         within_guarantee=job_state.job.id in self._guaranteed_jobs,
                         deprioritized_upstreams=self.failures.failed_upstreams(
                             job_state.job.id
@@ -177,7 +179,6 @@
             runs = [(key.task_name(index), state.tasks[index].run) for index in group]
             if not runs or any(run in self.stopping for run in runs):
                 continue
-            pairs = list(zip(group, runs, strict=True))
             longest_s = max(elapsed_s(state.tasks[index]) for index in group)
             lost_s = _lost_work_s(step, longest_s)
             units.append(
@@ -190,7 +191,10 @@
                     job_state.job.workspace,
                     lost_s * core_equivalents(step.need) * len(group),
                     job_state.job.id in self._guaranteed_jobs,
-                    max(self._remaining_s(step, state, i, run) for i, run in pairs),
+                    max(
+                        self.run_times.remaining_s(job_state, key, index)
+                        for index in group
+                    ),
                 )
             )
         return units
@@ -210,29 +214,19 @@
             at_work += task.phase == OPEN and is_at_work and run not in self.stopping
         return max(step.may_miss - (step.count - at_work), 0)
 
-    def _remaining_s(
-        self, step: Step, state: StepState, index: int, run: tuple[str, int]
-    ) -> float:
-        """Return the expected remaining time of an open run."""
-        task = state.tasks[index]
-        percent = self.fleet.progress_percent(task.upstream, *run)
-        return estimate_remaining_s(step, elapsed_s(task), percent)
-
     def _slack_s(self, job_state: JobState, occurrence: int, now_ms: int) -> float:
         """Return how long the rest of a job can wait and still meet its objective."""
         job = job_state.job
-        path_ms = self._critical_path_ms(job_state, occurrence)
-        remaining_ms = self._critical_path_ms(
-            job_state, occurrence, remaining_only=True
-        )
-        start_ms = max(job.accepted_ms, job.due_ms(occurrence))
-        objective_ms = start_ms + job.stretch * path_ms + job.target_latency_ms
-        return (objective_ms - remaining_ms - now_ms) / 1000
+        path_s = self._critical_path_s(job_state, occurrence)
+        remaining_s = self._critical_path_s(job_state, occurrence, remaining_only=True)
+        age_s = (now_ms - max(job.accepted_ms, job.due_ms(occurrence))) / 1000
+        objective_s = job.stretch * path_s + job.target_latency_ms / 1000
+        return objective_s - age_s - remaining_s
 
-    def _critical_path_ms(
+    def _critical_path_s(
         self, job_state: JobState, occurrence: int, *, remaining_only: bool = False
     ) -> float:
-        """Return the estimated critical path of all steps, or of those not done yet.
+        """Return the expected critical path of all steps, or of those not done yet.
 
         For all steps it is the path that the objective counts: a wide step takes it
         several waves. Those not done yet count once, as they can run at one time.
@@ -241,14 +235,13 @@
         ends: list[float] = []
         for number, step in enumerate(job.steps):
             state = job_state.steps.get((occurrence, number))
+            own_s = self.run_times.expected_s(job, step, state)
             if not remaining_only:
-                own_ms = step.estimate_ms * self._waves(job.group, step)
+                own_s *= self._waves(job.group, step)
             elif state is not None and state.is_done:
-                own_ms = 0
-            else:
-                own_ms = step.estimate_ms
-            ends.append(own_ms + max((ends[one] for one in step.after), default=0))
-        return max(ends, default=0)
+                own_s = 0.0
+            ends.append(own_s + max((ends[one] for one in step.after), default=0.0))
+        return max(ends, default=0.0)
 
     def _waves(self, group: str, step: Step) -> float:
         """Return in how many waves the objective lets a step run."""
--- /dev/null
+++ b/src/hyssoprill/coordination/planner/run_times.py
@@ -0,0 +1,75 @@
+"""Tells how long tasks will run: by their progress, their step and their queue."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ...state.job_table import DONE
+from ..policy.dispatch.run_times import RunTimeModel, estimate_remaining_s
+from .runs import elapsed_s
+
+if TYPE_CHECKING:
+    from ...protocol.job import Job, Step
+    from ...state.job_table import JobState, JobTable, StepKey, StepState
+    from .fleet import Fleet
+
+
+@dataclass(slots=True)
+class RunTimes:
+    """Run times of all tasks that wait or run, in seconds.
+
+    What a task's own progress tells goes before what other tasks of its step took, and
+    that before the history of its queue.
+    """
+
+    job_table: JobTable
+    fleet: Fleet
+    model: RunTimeModel = field(default_factory=RunTimeModel)
+
+    def rebuild(self) -> None:
+        """Learn again from the jobs in the job table, at the start of a term."""
+        self.model.clear()
+        for job_state in self.job_table.jobs.values():
+            for (_occurrence, number), state in job_state.steps.items():
+                step = job_state.job.steps[number]
+                for task in state.tasks:
+                    if task.phase == DONE and task.ran_ms:
+                        self.record_run(job_state.job, step, task.ran_ms / 1000)
+
+    def record_run(self, job: Job, step: Step, ran_s: float) -> None:
+        """Record a run that was done and not slowed by its placement."""
+        weight = 1.0 if step.gang else 1.0 / step.count
+        estimate_s = step.estimate_ms / 1000
+        self.model.record(job.queue, estimate_s, ran_s, weight=weight)
+
+    def expected_s(self, job: Job, step: Step, state: StepState | None) -> float:
+        """Return the expected run time of a task of a step."""
+        done = [
+            task.ran_ms
+            for task in (state.tasks if state is not None else ())
+            if task.phase == DONE and task.ran_ms
+        ]
+        if done:
+            return sum(done) / len(done) / 1000
+        return self.model.expected_s(job.queue, step.estimate_ms / 1000)
+
+    def remaining_s(self, job_state: JobState, key: StepKey, index: int) -> float:
+        """Return the expected remaining run time; infinite for long-running tasks."""
+        step = job_state.job.steps[key.step]
+        if step.long_running:
+            return float("inf")
+        state = job_state.step_state(key.occurrence, key.step)
+        task = state.tasks[index]
+        percent = self.fleet.progress_percent(
+            task.upstream, key.task_name(index), task.run
+        )
+        return estimate_remaining_s(
+            self.expected_s(job_state.job, step, state),
+            elapsed_s(task),
+            percent,
+            is_resumed=bool(task.checkpoint),
+        )
+
+
+__all__ = ["RunTimes"]
--- a/src/hyssoprill/coordination/planner/stopping.py
+++ b/src/hyssoprill/coordination/planner/stopping.py
@@ -7,7 +7,7 @@
 
 from ...clock import boottime_s
 from ...state.job_table import OPEN, StepKey
-from ..policy.dispatch.draining import estimate_remaining_s, should_migrate
+from ..policy.dispatch.draining import should_migrate
 from ..policy.dispatch.stalled_runs import should_restart
 from .runs import elapsed_s
 
@@ -16,6 +16,7 @@
     from ...state.job_table import JobState, JobTable, OpenRun, TaskState
     from .failures import FailureTracker
     from .fleet import Fleet
+    from .run_times import RunTimes
     from .runs import StopRequests
 
 
@@ -27,6 +28,7 @@
     fleet: Fleet
     stopping: StopRequests
     failures: FailureTracker
+    run_times: RunTimes
 
     def request_stops(self) -> None:
         """Request a stop of each run that has to stop now."""
@@ -76,10 +78,10 @@
     def _stop_draining(self, upstream: str, upstream_remaining_s: float) -> None:
         """Request stops of the runs to migrate off a draining upstream."""
         for task, run in self.job_table.open_runs.get(upstream, {}).items():
-            step, state = self._look_up(run)
-            percent = self.fleet.progress_percent(upstream, task, run.run)
-            run_remaining_s = estimate_remaining_s(step, elapsed_s(state), percent)
-            if should_migrate(step, run_remaining_s, upstream_remaining_s):
+            job_state = self.job_table.jobs[run.step.job_id]
+            step = job_state.job.steps[run.step.step]
+            remaining_s = self.run_times.remaining_s(job_state, run.step, run.index)
+            if should_migrate(step, remaining_s, upstream_remaining_s):
                 self.stopping.add((task, run.run), "upstream leaves")
 
     def _look_up(self, run: OpenRun) -> tuple[Step, TaskState]:
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -24,7 +24,7 @@
     from .model import RunningUnit, UpstreamView, WaitingStep
 
 LOCALITY_WAIT_SHARE = 2.0
-"""A step waits this multiple of its estimate for its data's rack or for a single rack.
+"""A step waits this multiple of its run time for its data's rack or for a single rack.
 
 Elsewhere its tasks run `remote_factor` (3) times as long and occupy their resources for
 all that time."""
@@ -89,8 +89,7 @@
 
 def _waits_for_rack(step: WaitingStep) -> bool:
     """Return whether a step may still wait for the rack on which it runs fastest."""
-    max_wait_s = step.step.estimate_ms / 1000 * LOCALITY_WAIT_SHARE
-    return step.waited_s < max_wait_s
+    return step.waited_s < step.expected_s * LOCALITY_WAIT_SHARE
 
 
 def _candidates(step: WaitingStep, upstreams: list[UpstreamView]) -> list[UpstreamView]:
@@ -178,7 +177,7 @@
         return _choose_reclaims(step, candidates, units, reclaim_s)
     lower_priority = [unit for unit in units if unit.priority > step.job.priority]
     may_preempt = step.is_urgent or step.slack_s < PREEMPT_SLACK_S
-    estimate_error_s = step.step.estimate_ms / 1000 * ESTIMATE_ERROR_SHARE
+    estimate_error_s = step.expected_s * ESTIMATE_ERROR_SHARE
     if not may_preempt or step.slack_s < -estimate_error_s:
         return None
     loss_share = MAX_URGENT_LOSS_SHARE if step.is_urgent else MAX_LATE_LOSS_SHARE
--- a/src/hyssoprill/coordination/policy/dispatch/draining.py
+++ b/src/hyssoprill/coordination/policy/dispatch/draining.py
@@ -12,23 +12,12 @@
 if TYPE_CHECKING:
     from ....protocol.job import Step
 
-MIN_RELIABLE_PERCENT = 10
-"""From this progress on, extrapolating it predicts better than the job's estimate."""
 EXPECTED_OVERSTAY_S = 8.0
 """Draining upstreams often stay this much longer than the time they announce."""
 NEARLY_DONE_S = 1.0
 """Runs with less than this remaining are not migrated."""
 
 
-def estimate_remaining_s(step: Step, ran_s: float, percent: int) -> float:
-    """Return the expected remaining run time; infinite for long-running tasks."""
-    if step.long_running:
-        return float("inf")
-    if percent >= MIN_RELIABLE_PERCENT:
-        return ran_s * (100 - percent) / percent
-    return max(step.estimate_ms / 1000 - ran_s, 0.0)
-
-
 def should_migrate(
     step: Step, run_remaining_s: float, upstream_remaining_s: float
 ) -> bool:
@@ -41,4 +30,4 @@
     return run_remaining_s > upstream_remaining_s + EXPECTED_OVERSTAY_S
 
 
-__all__ = ["estimate_remaining_s", "should_migrate"]
+__all__ = ["should_migrate"]
--- a/src/hyssoprill/coordination/policy/dispatch/headroom.py
+++ b/src/hyssoprill/coordination/policy/dispatch/headroom.py
@@ -18,7 +18,7 @@
 HEADROOM_SHARE = 0.3
 """Share of a group's upstreams that is kept free of work that is costly to preempt."""
 HEADROOM_SLACK_SHARE = 1.0
-"""A step leaves headroom while its slack is at least this multiple of its estimate."""
+"""A step leaves headroom while its slack is at least this multiple of its run time."""
 
 
 def exclude_headroom(
@@ -38,7 +38,7 @@
     upstreams : list of UpstreamView
         All upstreams of the pool.
     """
-    min_slack_s = step.step.estimate_ms / 1000 * HEADROOM_SLACK_SHARE
+    min_slack_s = step.expected_s * HEADROOM_SLACK_SHARE
     if not step.is_costly_to_preempt or step.step.gang or step.slack_s < min_slack_s:
         return candidates
     group = [one for one in upstreams if one.group == step.job.group]
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -53,6 +53,8 @@
         When the start of the newest run was decided, in milliseconds since 1970.
     newer_checkpoint : str
         Newest checkpoint that the open run has saved, where later than `checkpoint`.
+    ran_ms : int
+        Run time of a done task; 0 where it says little of the task, as after a resume.
     """
 
     phase: int = WAITING
@@ -63,6 +65,7 @@
     last_failed_run: int = 0
     started_ms: int = 0
     newer_checkpoint: str = ""
+    ran_ms: int = 0
 
 
 class StepState(Struct, frozen=True, array_like=True):
--- a/tests/coordination/policy/dispatch/conftest.py
+++ b/tests/coordination/policy/dispatch/conftest.py
@@ -51,6 +51,7 @@
             {},
             waited_s,
             slack_s,
+            step.estimate_ms / 1000,
             within_guarantee,
         )
 
