--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -39,6 +39,8 @@
 
 Below `GRANT_WINDOW_S`, so that its agents lose no time, and above the time in which a
 call without an answer is repeated."""
+HAND_OVER_TIMEOUT_S = 0.2
+"""A peer that reaches the store answers within this time."""
 CHECK_INTERVAL_S = 0.1
 APPEND_RETRY_S = 0.1
 
@@ -78,6 +80,7 @@
         self._sequence = 0
         self._last_stored_s = float("-inf")
         self._append_lock = asyncio.Lock()
+        self._tried_in_outage_s = 0.0
         self.resigning = False
 
     @property
@@ -159,18 +162,22 @@
         """Resign through a peer if the store is out of reach from this entry only.
 
         The claim of another entry then fences this one as usual, also if it reaches the
-        store again.
+        store again. Tried once in an outage: peers that cannot reach the store either
+        would take time from the appends, and the term when the store comes back.
         """
+        outage_s = self._replica.failing_since_s
         if (
             self._append_through_peer is None
             or self._replica.store_unreachable_s < HAND_OVER_AFTER_S
+            or outage_s == self._tried_in_outage_s
         ):
             return
+        self._tried_in_outage_s = outage_s
+        record = Record(VACATED_KEY, msgspec.json.encode(self._term))
         try:
-            await self._append_through_peer(
-                [Record(VACATED_KEY, msgspec.json.encode(self._term))]
-            )
-        except StoreError as exc:
+            async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
+                await self._append_through_peer([record])
+        except (StoreError, TimeoutError) as exc:
             decision("hand_over_failed", term=self._term, why=str(exc))
             return
         self._step_down("handed over, as the store is out of reach")
