--- a/src/hyssoprill/cli/late.py
+++ b/src/hyssoprill/cli/late.py
@@ -28,6 +28,8 @@
 NOT_FINISHED = "not finished"
 SLOW_FACTOR = 2.0
 """A run counts as slowed from this multiple of the median of its step."""
+MAX_UNSAVED_S = 2.0
+"""Work since the last checkpoint that a run may lose; from PROTOCOL, `checkpoint_s`."""
 REMOTE_FACTOR = 3.0
 """Away from its data a task takes this multiple; from PROTOCOL, "Jobs"."""
 
@@ -239,12 +241,16 @@
         for name, seconds in history.waiting_s(at_ms, run.planned_ms).items():
             report.spent_s[name] += seconds
         at_ms = run.ended_ms or run.planned_ms
-        if run.cause == GANG_BROKEN:
-            report.spent_s[_gang_cause(tasks, number)] += run.ran_s
-        elif run.cause:
-            report.spent_s[run.cause] += run.ran_s
-        else:
+        if not run.cause:
             _spend_work(report, tasks, step, run)
+            continue
+        is_member = run.cause == GANG_BROKEN
+        cause = _gang_cause(tasks, number) if is_member else run.cause
+        lost_s = run.ran_s
+        if "checkpoints" in step["flags"] and cause != "failed":
+            lost_s = min(lost_s, MAX_UNSAVED_S)
+        report.spent_s[cause] += lost_s
+        report.spent_s[WORK] += run.ran_s - lost_s
 
 
 def _spend_work(
