--- a/src/hyssoprill/coordination/upstream/departure.py
+++ b/src/hyssoprill/coordination/upstream/departure.py
@@ -18,6 +18,8 @@
 MAX_CHECK_IN_AGE_S = 4.0
 """An upstream that runs checks in at least this often; twice the usual interval of
 1.5 s, and a second for the answer."""
+MIN_CHECK_IN_AGE_S = 2.0
+"""The same where a draining upstream has announced its end; above one interval."""
 
 
 class DepartureWatch:
@@ -41,8 +43,8 @@
     def has_ended(self, check_in: CheckIn) -> bool:
         """Return whether the upstream must have ended, by its newest check-in.
 
-        One that drains may end once the time is over that it said it would stay. Any
-        other has crashed if it does not check in either.
+        One that drains ends once the time is over that it said it would stay, any other
+        only by a crash. Neither checks in any more then.
         """
         now_s = boottime_s()
         if self._refused_since_s is None:
@@ -51,7 +53,8 @@
             return False
         stays_s = MAX_CHECK_IN_AGE_S
         if check_in.draining:
-            stays_s = min(max(check_in.remaining_ms, 0) / 1000, stays_s)
+            announced_s = max(check_in.remaining_ms / 1000, MIN_CHECK_IN_AGE_S)
+            stays_s = min(announced_s, MAX_CHECK_IN_AGE_S)
         return now_s - self._checked_in_s >= stays_s
 
 
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -513,6 +513,8 @@
         await harness.wait_until(lambda: any(harness.upstream.leases))
         agent.handle_check_in(check_in(sequence=2, draining=True, remaining_ms=300))
         harness.upstream.is_listening = False
+        await asyncio.sleep(1.0)
+        assert not entry.reports[-1].ended_keys
         await harness.wait_until(lambda: entry.reports[-1].ended_keys, 2.0)
 
     run_scenario(scenario)
