--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -14,7 +14,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from ...protocol.upstream_messages import RunReport, UpstreamReport, VmReport
 
@@ -73,19 +73,19 @@
         self._last_new_vm_s = float("inf")
         self._reported_vms: set[str] = set()
 
-    def is_settled(self, expected_vms: set[str]) -> bool:
+    def is_settled(self, expected_vms: Callable[[], set[str]]) -> bool:
         """Return whether the VMs have had time to report in this term.
 
         Parameters
         ----------
-        expected_vms : set of str
-            VMs that are known to be there from their runs.
+        expected_vms : callable
+            Returns the VMs that are known to be there from their runs.
         """
         now_s = boottime_s()
         if now_s - self._first_report_s > SETTLE_TIME_S:
             return True
         is_quiet = now_s - self._last_new_vm_s > SETTLE_QUIET_S
-        return is_quiet and expected_vms <= self._reported_vms
+        return is_quiet and expected_vms() <= self._reported_vms
 
     def reset(self) -> None:
         """Drop all reports, at the start of a term."""
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -235,7 +235,7 @@
             self._waiting_since_s,
         )
         waiting = inputs.waiting_steps(unix_ms())
-        if not waiting or not self._fleet.is_settled(self._vms_with_runs()):
+        if not waiting or not self._fleet.is_settled(self._vms_with_runs):
             return
         waited_s = {step.key: step.waited_s for step in waiting}
         plan = self._policy(
--- a/tests/coordination/planner/test_fleet.py
+++ b/tests/coordination/planner/test_fleet.py
@@ -77,15 +77,15 @@
 def test_fleet_settles_once_the_vms_with_runs_have_reported(clock):
     fleet = Fleet()
     report(fleet, KEY)
-    assert not fleet.is_settled({"vm-1"})
+    assert not fleet.is_settled(lambda: {"vm-1"})
     clock.now_s += fleet_module.SETTLE_QUIET_S + 0.01
-    assert fleet.is_settled({"vm-1"})
-    assert not fleet.is_settled({"vm-1", "vm-2"})
+    assert fleet.is_settled(lambda: {"vm-1"})
+    assert not fleet.is_settled(lambda: {"vm-1", "vm-2"})
     clock.now_s += fleet_module.SETTLE_TIME_S
-    assert fleet.is_settled({"vm-1", "vm-2"})
+    assert fleet.is_settled(lambda: {"vm-1", "vm-2"})
 
 
 def test_fleet_is_not_settled_before_a_report(clock):
     fleet = Fleet()
     clock.now_s += 10.0
-    assert not fleet.is_settled(set())
+    assert not fleet.is_settled(set)
