--- a/src/hyssoprill/coordination/intake/service.py
+++ b/src/hyssoprill/coordination/intake/service.py
@@ -217,7 +217,7 @@
         self._send(sender, await self._relay.handle_request(message))
 
     def _send_referral(self, sender: str) -> None:
-        """Name the planner; none if this entry was and has not read of another."""
+        """Name the planner, or none where the newest known term has ended."""
         term = self.replica.job_table.term
         if term is None:
             return
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -253,6 +253,7 @@
         self._record_starts(plan, changes, waited_s)
 
     def _vms_with_runs(self) -> set[str]:
+        """Return the VMs of all upstreams with open runs."""
         return {
             parse_upstream_key(key).vm
             for key, runs in self._job_table.open_runs.items()
--- a/src/hyssoprill/coordination/planner/run_times.py
+++ b/src/hyssoprill/coordination/planner/run_times.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ...state.job_table import DONE
-from ..policy.dispatch.run_times import RunTimeModel, estimate_remaining_s
+from ..policy.dispatch.run_time_model import RunTimeModel, estimate_remaining_s
 from .runs import elapsed_s
 
 if TYPE_CHECKING:
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -75,11 +75,11 @@
     plan = Plan()
     reservations = 0
     for step in sorted(waiting, key=scheduling_order):
-        is_patient = not has_waited_beside_idle_pool(step, upstreams)
-        candidates = _candidates(step, upstreams, is_patient=is_patient)
-        if is_patient:
+        may_wait = not has_waited_beside_idle_pool(step, upstreams)
+        candidates = _candidates(step, upstreams, may_wait=may_wait)
+        if may_wait:
             candidates = exclude_headroom(step, candidates, upstreams)
-        spread = not (is_patient and _waits_for_rack(step))
+        spread = not (may_wait and _waits_for_rack(step))
         if not candidates or _start_now(step, candidates, plan, spread=spread):
             continue
         stopped = _choose_preemptions(step, candidates, units, reclaim_s)
@@ -98,16 +98,15 @@
 
 
 def _candidates(
-    step: WaitingStep, upstreams: list[UpstreamView], *, is_patient: bool
+    step: WaitingStep, upstreams: list[UpstreamView], *, may_wait: bool
 ) -> list[UpstreamView]:
     """Return the upstreams on which a step may run now.
 
-    While a patient step may wait for its data's rack, these are only upstreams there,
-    if any are eligible.
+    While it may wait for its data's rack, only upstreams there, if any are eligible.
     """
     candidates = _exclude_failing(step, eligible_upstreams(step, upstreams))
     rack = step.step.data_rack
-    is_waiting = is_patient and _waits_for_rack(step)
+    is_waiting = may_wait and _waits_for_rack(step)
     if rack and is_waiting and not step.within_guarantee:
         near = [one for one in candidates if one.rack == rack]
         return near or candidates
--- a/src/hyssoprill/coordination/policy/dispatch/idle_pool.py
+++ b/src/hyssoprill/coordination/policy/dispatch/idle_pool.py
@@ -15,8 +15,9 @@
     from .model import UpstreamView, WaitingStep
 
 MAX_IDLE_WAIT_S = 2.4
-"""Longest wait beside an idle pool; RULES, LOST, allows 3 s from when a job could run
-until it does, and a new planner counts from the start of its term."""
+"""Longest wait beside an idle pool.
+
+RULES, LOST, allows 3 s; the rest is for the round, the order and the start."""
 IDLE_SHARE = 0.5
 """A pool is idle if less than this share of one of its resources is in use."""
 FIT_TIMES = 2
--- a/tests/coordination/policy/dispatch/test_run_times.py
+++ b/tests/coordination/policy/dispatch/test_run_time_model.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hyssoprill.coordination.policy.dispatch.run_times import (
+from hyssoprill.coordination.policy.dispatch.run_time_model import (
     RunTimeModel,
     estimate_remaining_s,
 )
