Count only fruitless waits as steps of an agent's search for the planner

The interval of the search was doubled with each report, also with those that a change caused, and five changes follow a restart at once, so that it was back at 0.6 s before any entry could answer. Change: eight searches at 0.15 s that end without an answer, then the heartbeat's interval. Test: changes before the election no longer delay the search; fails before.

--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -39,12 +39,15 @@
     PortFactory = Callable[[CheckIn], UpstreamPort]
 
 HEARTBEAT_INTERVAL_S = 0.6
-SEARCH_INTERVAL_S = 0.1
-"""First interval between reports while no planner has answered, doubled with each up to
-the heartbeat interval. A restarted or newly elected planner answers within tenths of a
-second, and jobs wait for it."""
+SEARCH_INTERVAL_S = 0.15
+"""Interval between the first reports while no planner has answered.
+
+A restarted or newly elected planner answers within tenths of a second, and jobs wait
+for it."""
+MAX_QUICK_SEARCHES = 8
+"""Number of reports at that interval, about as long as a claim of the term takes."""
 MAX_SEARCH_PEERS = 3
-"""Entries that are asked between two heartbeats; all others know who plans as well."""
+"""Entries that are asked in each of these; all others know who plans as well."""
 MAX_ENDED_KEYS = 8
 """Number of ended incarnations that an agent reports, the newest."""
 PLANNER_SILENCE_S = 1.0
@@ -91,7 +94,7 @@
         self._planner = ""
         self._planner_heard_s = boottime_s()
         self._searching = True
-        self._search_interval_s = SEARCH_INTERVAL_S
+        self._quick_searches = 0
         self._report_number = 1
         self._newest_orders = (0, 0)
         self._report_due = asyncio.Event()
@@ -234,7 +237,7 @@
         """Connect to all entries to find out which one plans."""
         if not self._searching:
             decision("planner_lost", planner=self._planner, term=self._grant.term)
-            self._search_interval_s = SEARCH_INTERVAL_S
+            self._quick_searches = 0
         self._searching = True
         self._planner = ""
         for name, url in self._entries.link_urls.items():
@@ -245,10 +248,13 @@
         while True:
             try:
                 await asyncio.wait_for(
-                    self._report_due.wait(), self._report_interval_s()
+                    self._report_due.wait(),
+                    SEARCH_INTERVAL_S
+                    if self._searches_quickly
+                    else HEARTBEAT_INTERVAL_S,
                 )
             except TimeoutError:
-                pass
+                self._quick_searches += 1
             if any(
                 session.progress.has_unreported_progress
                 for session in self._sessions.values()
@@ -268,13 +274,10 @@
                     )
                 )
 
-    def _report_interval_s(self) -> float:
-        """Return how long to wait for a change, shorter while a search begins."""
-        if not self._searching:
-            return HEARTBEAT_INTERVAL_S
-        interval_s = self._search_interval_s
-        self._search_interval_s = min(2 * interval_s, HEARTBEAT_INTERVAL_S)
-        return interval_s
+    @property
+    def _searches_quickly(self) -> bool:
+        """Whether the search for a planner has only just begun."""
+        return self._searching and self._quick_searches < MAX_QUICK_SEARCHES
 
     def _remove_ended_sessions(self) -> None:
         for key in [key for key, session in self._sessions.items() if session.gone]:
@@ -299,13 +302,13 @@
     async def _send(self, message: Message) -> None:
         """Send to the planner, or to other entries while the planner is unknown.
 
-        Where many entries could answer, only some are asked between two heartbeats.
+        Where many entries could answer, a quick search asks only some.
         """
         if self._planner:
             await self._hub.send(self._planner, message)
             return
         names = list(self._entries.link_urls)
-        if self._search_interval_s < HEARTBEAT_INTERVAL_S:
+        if self._searches_quickly:
             names = random.sample(names, min(len(names), MAX_SEARCH_PEERS))
         for name in names:
             self._tasks.spawn(self._hub.send(name, message))
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -343,7 +343,13 @@
     async def scenario(harness, agent):
         entry = await harness.add_entry("entry-1")
         entry.is_planner = False
-        agent.handle_check_in(check_in())
+        await harness.wait_until(lambda: agent._entries.link_urls)
+        # Changes of the report do not use up the short intervals of the search.
+        for number in range(5):
+            agent.handle_check_in(
+                check_in(sequence=number + 1, draining=number % 2 == 1)
+            )
+            await asyncio.sleep(0.01)
         await harness.wait_until(lambda: entry.reports)
         entry.is_planner = True
         entry.reports.clear()
