Name the runs that may start late when an upstream incarnation ends

The logs could not tell the first from the others: upstream_ended named no runs. It now names those that a call may have started and that no listing has named since, at most eight with their count. No logic changes. tests/coordination/upstream and tests/cli pass.

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -87,6 +87,7 @@
         self._closed: set[RunKey] = set()
         self._refused: dict[RunKey, str] = {}
         self._in_doubt: set[RunKey] = set()
+        self._unlisted: set[RunKey] = set()
         self._departure = DepartureWatch()
         self._listing: RunListing | None = None
         self._listing_sent_s = float("-inf")
@@ -128,6 +129,11 @@
             self._lease_tracker.in_doubt_s,
         )
 
+    @property
+    def unlisted_runs(self) -> list[RunKey]:
+        """Runs that a call may have started and that no listing has named since."""
+        return sorted(self._unlisted)
+
     # Orders
 
     def apply_orders(self, orders: UpstreamOrders) -> None:
@@ -200,6 +206,7 @@
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             sent_s, lease_s = boottime_s(), self._lease_length_s
+            self._unlisted.add(key)
             try:
                 answer = await self._port.start(
                     order,
@@ -208,6 +215,7 @@
                     timeout_s=CALL_TIMEOUT_S,
                 )
             except UpstreamUnreachedError:
+                self._record_not_started(key)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             except UpstreamSilentError as exc:
@@ -223,12 +231,18 @@
                 self._started.add(key)
                 decision("run_started", task=key[0], run=key[1], term=self.term)
                 return
+            self._record_not_started(key)
             if answer.reason == "late":
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             await self._refuse_when_settled(key, answer.reason)
             return
 
+    def _record_not_started(self, key: RunKey) -> None:
+        """Record that a call has not started a run; an earlier one may have."""
+        if key not in self._in_doubt:
+            self._unlisted.discard(key)
+
     async def _refuse_when_settled(self, key: RunKey, reason: str) -> None:
         """Report a run as refused once it is certain that it never ran and never will.
 
@@ -356,6 +370,7 @@
         newly_stalled = self.progress.update(listing)
         present = {run_key(row) for row in listing.running}
         present |= {(row.task, row.run) for row in listing.ended}
+        self._unlisted -= present
         closed = {
             key
             for key, confirmed_s in self._stop_confirmed_s.items()
@@ -363,6 +378,7 @@
         }
         newly_closed = closed - self._closed
         self._closed |= closed
+        self._unlisted -= closed
         self._stop_unordered_runs()
         rows_changed = previous is None or (
             previous.ended != listing.ended
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -50,6 +50,8 @@
 """Entries that are asked in each of these; all others know who plans as well."""
 MAX_ENDED_KEYS = 8
 """Number of ended incarnations that an agent reports, the newest."""
+MAX_LOGGED_RUNS = 8
+"""Number of runs that a log line names."""
 PLANNER_SILENCE_S = 1.0
 """After this long without an answer, the agent asks all entries who plans."""
 
@@ -156,8 +158,15 @@
             self._end_session(key, "the upstream left")
 
     def _end_session(self, key: UpstreamKey, why: str) -> None:
-        decision("upstream_ended", upstream=str(key), why=why)
         session = self._sessions.pop(key)
+        unlisted = session.unlisted_runs
+        decision(
+            "upstream_ended",
+            upstream=str(key),
+            why=why,
+            unlisted=unlisted[:MAX_LOGGED_RUNS],
+            unlisted_count=len(unlisted),
+        )
         session.gone = True
         self._ended_keys.append(key)
         self._last_reports[key] = session.report()
