--- a/src/hyssoprill/cli/trace.py
+++ b/src/hyssoprill/cli/trace.py
@@ -37,6 +37,8 @@
     "run_started",
     "run_to_stop",
     "run_ended",
+    "crash_suspected",
+    "task_given_up",
 )
 """Order of lines with the same millisecond timestamp, written by different clocks."""
 
--- a/src/hyssoprill/coordination/planner/changes.py
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -10,10 +10,15 @@
 from ...clock import unix_ms
 from ...ports.store import MAX_BATCH_BYTES, Record
 from ...state.job_table import DONE, FAILED, OPEN, WAITING, StepState, TaskState
+from .crashes import crashes_upstreams, record_crash
 
 if TYPE_CHECKING:
     from ...protocol.job import Step
     from ...state.job_table import JobTable, StepKey
+    from .crashes import UpstreamCrash
+
+SURVIVING_OUTCOMES = frozenset({"failed", "stopped"})
+"""Outcomes that show that a run had started without a crash of its upstream."""
 
 _encoder = msgspec.json.Encoder()
 
@@ -90,11 +95,12 @@
         *,
         max_attempts: int,
         ran_ms: int = 0,
+        crash: UpstreamCrash | None = None,
     ) -> None:
         """Close the open run of a task.
 
         A gang is done as soon as one of its tasks is. Each run of a gang counts as at
-        most one failure.
+        most one failure, and as at most one crash.
 
         Parameters
         ----------
@@ -104,6 +110,8 @@
             Checkpoint that the run has saved, or ''.
         ran_ms : int
             Run time to keep with a done task, 0 for none.
+        crash : UpstreamCrash or None
+            Crash of its upstream, if the task is a suspect.
         """
         step = self._step(key)
         tasks = self._editable_tasks(key)
@@ -120,7 +128,9 @@
         if outcome == "failed" and failed_run != task.run:
             failures += 1
             failed_run = task.run
-        is_final = failures >= max_attempts and not step.long_running
+        has_used_attempts = failures >= max_attempts and not step.long_running
+        suspicion = _suspicion(task, outcome, crash, is_gang=step.gang)
+        is_final = has_used_attempts or crashes_upstreams(suspicion)
         tasks[index] = TaskState(FAILED if is_final else WAITING, task.run)
         shared = range(len(tasks)) if step.gang else (index,)
         for one in shared:
@@ -130,6 +140,9 @@
                 checkpoint=checkpoint or task.newer_checkpoint or task.checkpoint,
                 newer_checkpoint="",
                 last_failed_run=failed_run,
+                crashed_vms=suspicion.crashed_vms,
+                lone_crashes=suspicion.lone_crashes,
+                last_crashed_run=suspicion.last_crashed_run,
             )
 
     def _step(self, key: StepKey) -> Step:
@@ -141,4 +154,18 @@
         return self._tasks[key]
 
 
+def _suspicion(
+    task: TaskState, outcome: str, crash: UpstreamCrash | None, *, is_gang: bool
+) -> TaskState:
+    """Return a state with what is known of crashes under a task as its run ends.
+
+    The end of one member of a gang says nothing of the others.
+    """
+    if crash is not None:
+        return record_crash(task, crash)
+    if outcome in SURVIVING_OUTCOMES and not is_gang:
+        return replace(task, crashed_vms=(), lone_crashes=0)
+    return task
+
+
 __all__ = ["StepChanges"]
--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -7,7 +7,8 @@
 
 from ...clock import boottime_s
 from ...logs import decision
-from ...state.job_table import OPEN
+from ...state.job_table import FAILED, OPEN
+from .crashes import crashes_upstreams, find_crashes
 from .policy_inputs import rack_of
 from .runs import elapsed_s
 
@@ -16,6 +17,7 @@
     from ...protocol.upstream_messages import UpstreamReport
     from ...state.job_table import JobTable, OpenRun, TaskState
     from .changes import StepChanges
+    from .crashes import UpstreamCrash
     from .failures import FailureTracker
     from .fleet import Fleet
     from .run_times import RunTimes
@@ -64,10 +66,14 @@
         """Close runs on upstream incarnations that can no longer run tasks."""
         for key, runs in self.job_table.open_runs.items():
             reason = self.fleet.end_reason(key) if runs else ""
-            if reason:
-                for task, run in runs.items():
-                    checkpoint = self.fleet.latest_checkpoint(key, task, run.run)
-                    self._close(changes, key, task, run, reason, checkpoint)
+            if not reason:
+                continue
+            crashes = find_crashes(self.fleet.find(key), runs)
+            for task, run in runs.items():
+                checkpoint = self.fleet.latest_checkpoint(key, task, run.run)
+                self._close(
+                    changes, key, task, run, reason, checkpoint, crashes.get(task)
+                )
 
     def record_checkpoints(self, changes: StepChanges) -> None:
         """Record new checkpoints of open runs, every `CHECKPOINT_INTERVAL_S`."""
@@ -140,6 +146,7 @@
         run: OpenRun,
         outcome: str,
         checkpoint: str,
+        crash: UpstreamCrash | None = None,
     ) -> None:
         before = changes.task(run.step, run.index)
         if before.phase != OPEN:
@@ -157,6 +164,7 @@
             checkpoint,
             max_attempts=job.max_attempts,
             ran_ms=round(ran_s * 1000),
+            crash=crash,
         )
         if outcome == "done":
             self.failures.record_success(upstream, boottime_s() - elapsed_s(before))
@@ -185,6 +193,29 @@
             ran_s=round(elapsed_s(before), 2),
             why=self.stopping.reason((task, run.run)),
         )
+        if crash is not None:
+            _log_crash(task, run.run, crash, changes.task(run.step, run.index))
+
+
+def _log_crash(
+    task: str, run_number: int, crash: UpstreamCrash, after: TaskState
+) -> None:
+    """Log the suspicion, and whether the task is given up."""
+    decision(
+        "crash_suspected",
+        task=task,
+        run=run_number,
+        vm=crash.vm,
+        lone_suspect=crash.is_lone_suspect,
+        crashes=len(after.crashed_vms),
+    )
+    if after.phase == FAILED and crashes_upstreams(after):
+        decision(
+            "task_given_up",
+            task=task,
+            why="upstreams crashed as they started it",
+            vms=after.crashed_vms,
+        )
 
 
 __all__ = ["RunCloser"]
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from ...protocol.job import ResourceAmounts, Step
     from ...protocol.upstream_messages import UpstreamReport
-    from ...state.job_table import JobState, JobTable, StepState
+    from ...state.job_table import JobState, JobTable, OpenRun, StepState
     from ...state.operator_config import OperatorConfig
     from .failures import FailureTracker
     from .fleet import Fleet
@@ -87,7 +87,8 @@
     ) -> UpstreamView:
         used, releasing = ZERO_AMOUNTS, ZERO_AMOUNTS
         is_costly = is_serving = is_filling = False
-        for task, run in self.job_table.open_runs.get(report.key, {}).items():
+        open_runs = self.job_table.open_runs.get(report.key, {})
+        for task, run in open_runs.items():
             step = self._step(run.step)
             used = used.plus(step.need)
             is_serving |= step.target_ms > 0
@@ -110,8 +111,26 @@
             self.speeds.relative_speed(report.key),
             is_serving,
             is_filling,
+            not open_runs,
+            *self._starting_jobs(report, open_runs),
         )
 
+    def _starting_jobs(
+        self, report: UpstreamReport, open_runs: dict[str, OpenRun]
+    ) -> tuple[set[str], set[str]]:
+        """Return the jobs with runs that an upstream has not listed, and suspects."""
+        listed = {(row.task, row.run) for row in report.running}
+        starting, suspects = set(), set()
+        for task, run in open_runs.items():
+            if (task, run.run) in listed:
+                continue
+            starting.add(run.step.job_id)
+            job_state = self.job_table.jobs[run.step.job_id]
+            state = job_state.step_state(run.step.occurrence, run.step.step)
+            if state.tasks[run.index].crashed_vms:
+                suspects.add(run.step.job_id)
+        return starting, suspects
+
     def waiting_steps(self, now_ms: int) -> list[WaitingStep]:
         """Return the ready steps with tasks to place, and update `waiting_since_s`."""
         now_s = boottime_s()
@@ -129,28 +148,52 @@
                 if self.failures.is_backing_off(key, now_s):
                     continue
                 since_s = self.waiting_since_s.setdefault(key, now_s)
-                found.append(
-                    WaitingStep(
-                        key,
-                        job_state.job,
-                        step,
-                        indices,
-                        _count_tasks_per_upstream(state),
-                        now_s - since_s,
-                        self._slack_s(job_state, occurrence, now_ms),
-                        self.run_times.expected_s(job_state.job, step, state),
-                        within_guarantee=job_state.job.id in self._guaranteed_jobs,
-                        deprioritized_upstreams=self.failures.failed_upstreams(
-                            job_state.job.id
-                        ),
-                        excluded_upstreams=self.failures.failed_upstreams(
-                            job_state.job.id, at_least=EXCLUDE_AFTER_FAILURES
-                        ),
-                        is_last_attempt=_is_last_attempt(job_state, state, indices),
+                counts = _count_tasks_per_upstream(state)
+                found += [
+                    self._waiting_step(
+                        job_state, key, group, counts, now_s - since_s, now_ms
                     )
-                )
+                    for group in _split_suspects(step, state, indices)
+                ]
         return found
 
+    def _waiting_step(
+        self,
+        job_state: JobState,
+        key: StepKey,
+        indices: list[int],
+        tasks_per_upstream: dict[str, int],
+        waited_s: float,
+        now_ms: int,
+    ) -> WaitingStep:
+        job = job_state.job
+        step = job.steps[key.step]
+        state = job_state.step_state(key.occurrence, key.step)
+        crashed_vms = {vm for index in indices for vm in state.tasks[index].crashed_vms}
+        return WaitingStep(
+            key,
+            job,
+            step,
+            indices,
+            tasks_per_upstream,
+            waited_s,
+            self._slack_s(job_state, key.occurrence, now_ms),
+            self.run_times.expected_s(job, step, state),
+            within_guarantee=job.id in self._guaranteed_jobs,
+            deprioritized_upstreams=self.failures.failed_upstreams(job.id)
+            | self._upstreams_of(crashed_vms),
+            excluded_upstreams=self.failures.failed_upstreams(
+                job.id, at_least=EXCLUDE_AFTER_FAILURES
+            ),
+            is_last_attempt=_is_last_attempt(job_state, state, indices),
+            is_suspect=_is_suspect(state, indices),
+        )
+
+    def _upstreams_of(self, vms: set[str]) -> frozenset[str]:
+        """Return the keys of all upstreams that some VMs report."""
+        found = [self.fleet.vms[vm].upstreams for vm in vms if vm in self.fleet.vms]
+        return frozenset(key for upstreams in found for key in upstreams)
+
     def running_units(self) -> list[RunningUnit]:
         """Return the running units that may be preempted and are not being stopped."""
         units = []
@@ -305,6 +348,24 @@
     return waiting
 
 
+def _split_suspects(
+    step: Step, state: StepState, indices: list[int]
+) -> list[list[int]]:
+    """Return the suspects among a step's waiting tasks and the others, as groups.
+
+    The tasks of a gang start together and are one group.
+    """
+    if step.gang:
+        return [indices]
+    suspects = [index for index in indices if state.tasks[index].crashed_vms]
+    others = [index for index in indices if not state.tasks[index].crashed_vms]
+    return [group for group in (suspects, others) if group]
+
+
+def _is_suspect(state: StepState, indices: list[int]) -> bool:
+    return any(state.tasks[index].crashed_vms for index in indices)
+
+
 def _count_tasks_per_upstream(state: StepState) -> dict[str, int]:
     counts: dict[str, int] = defaultdict(int)
     for task in state.tasks:
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -18,6 +18,7 @@
 )
 from .preemption import STOP_COST, select_preemptions
 from .ranking import scheduling_order
+from .suspects import record_start, separate_suspects
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -104,7 +105,9 @@
 
     While it may wait for its data's rack, only upstreams there, if any are eligible.
     """
-    candidates = _exclude_failing(step, eligible_upstreams(step, upstreams))
+    candidates = separate_suspects(
+        step, _exclude_failing(step, eligible_upstreams(step, upstreams))
+    )
     rack = step.step.data_rack
     is_waiting = may_wait and _waits_for_rack(step)
     if rack and is_waiting and not step.within_guarantee:
@@ -150,6 +153,7 @@
         placed_on = place_tasks(step, candidates, free_now)
     for index, upstream in zip(step.indices, placed_on, strict=False):
         reserve(step, upstream, free_now)
+        record_start(step, upstream)
         plan.starts.append(Placement(step.key, index, upstream.key))
     del step.indices[: len(placed_on)]
     return not step.indices
--- a/src/hyssoprill/coordination/policy/dispatch/model.py
+++ b/src/hyssoprill/coordination/policy/dispatch/model.py
@@ -39,6 +39,12 @@
         Relative to the mean of all upstreams.
     has_serving_tasks, has_filling_tasks : bool
         Whether it runs serving tasks, and filling tasks that would disturb them.
+    is_idle : bool
+        Whether it runs nothing.
+    starting_jobs : set of str
+        Jobs with runs there that it has not listed yet.
+    starting_suspects : set of str
+        Those of them whose runs may crash it.
     """
 
     key: str
@@ -54,6 +60,9 @@
     speed: float = 1.0
     has_serving_tasks: bool = False
     has_filling_tasks: bool = False
+    is_idle: bool = True
+    starting_jobs: set[str] = field(default_factory=set)
+    starting_suspects: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +114,8 @@
         Upstreams on which the job failed repeatedly, not used.
     is_last_attempt : bool
         Whether one more failure fails the job.
+    is_suspect : bool
+        Whether upstreams have crashed as they started its tasks.
     """
 
     key: StepKey
@@ -119,6 +130,7 @@
     deprioritized_upstreams: frozenset[str] = frozenset()
     excluded_upstreams: frozenset[str] = frozenset()
     is_last_attempt: bool = False
+    is_suspect: bool = False
 
     @property
     def is_urgent(self) -> bool:
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -74,6 +74,7 @@
         self.key = key
         self.check_in = check_in
         self.gone = False
+        self.crashed = False
         self.progress = ProgressTracker()
         self._port = port
         self._grant = grant
@@ -127,8 +128,16 @@
             check_in.remaining_ms,
             check_in.draining,
             self._lease_tracker.in_doubt_s,
+            self.crashed,
+            self.unlisted_runs if self.crashed else [],
         )
 
+    def record_end(self, *, crashed: bool) -> None:
+        """Record that the incarnation has ended; a draining one does not crash."""
+        if not self.gone:
+            self.gone = True
+            self.crashed = crashed and not self.check_in.draining
+
     @property
     def unlisted_runs(self) -> list[RunKey]:
         """Runs that a call may have started and that no listing has named since."""
@@ -323,7 +332,9 @@
                     )
                     self._record_unanswered_call(sent_s, lease_s)
                 if self._lease_tracker.has_expired:
-                    self._end_incarnation("no answer until its lease had expired")
+                    self._end_incarnation(
+                        "no answer until its lease had expired", crashed=False
+                    )
                     return
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
@@ -388,10 +399,10 @@
         if newly_closed or rows_changed or newly_stalled:
             self._on_change()
 
-    def _end_incarnation(self, why: str) -> None:
+    def _end_incarnation(self, why: str, *, crashed: bool = True) -> None:
         """Mark the incarnation as ended; the agent then closes this session."""
         decision("upstream_gone", upstream=str(self.key), why=why)
-        self.gone = True
+        self.record_end(crashed=crashed)
         self._on_change()
 
 
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -139,6 +139,7 @@
                 session.update_check_in(check_in)
             return True
         for older in [other for other in self._sessions if key.supersedes(other)]:
+            self._sessions[older].record_end(crashed=True)
             self._end_session(older, "a later incarnation checked in")
         decision("upstream_found", upstream=str(key), zone=check_in.zone)
         self._sessions[key] = UpstreamSession(
@@ -155,6 +156,7 @@
     def remove_upstream(self, upstream_id: str) -> None:
         """End all incarnations of an upstream that has left, with all of their runs."""
         for key in [other for other in self._sessions if other.id == upstream_id]:
+            self._sessions[key].record_end(crashed=False)
             self._end_session(key, "the upstream left")
 
     def _end_session(self, key: UpstreamKey, why: str) -> None:
@@ -166,8 +168,8 @@
             why=why,
             unlisted=unlisted[:MAX_LOGGED_RUNS],
             unlisted_count=len(unlisted),
+            crashed=session.crashed,
         )
-        session.gone = True
         self._ended_keys.append(key)
         self._last_reports[key] = session.report()
         for expired in self._ended_keys[:-MAX_ENDED_KEYS]:
@@ -303,7 +305,7 @@
                 [
                     one
                     for one in self._last_reports.values()
-                    if one.running or one.ended
+                    if one.running or one.ended or one.unlisted
                 ],
             )
         )
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -71,6 +71,11 @@
     lease_uncertainty_s : float
         For this long after the report, a call without an answer may still extend the
         lease.
+    crashed : bool
+        Whether the incarnation ended without notice while its agent went on.
+    unlisted : list of tuple
+        Where it crashed, the runs that a call may have started and that no listing has
+        named since.
     """
 
     key: str
@@ -87,6 +92,8 @@
     remaining_ms: int = -1
     draining: bool = False
     lease_uncertainty_s: float = 0.0
+    crashed: bool = False
+    unlisted: list[tuple[str, int]] = []
 
 
 class VmReport(Message):
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -56,6 +56,13 @@
         Newest checkpoint that the open run has saved, where later than `checkpoint`.
     ran_ms : int
         Run time of a done task; 0 where it says little of the task, as after a resume.
+    crashed_vms : tuple of str
+        For each of its runs under which an upstream crashed before it had listed the
+        run, the VM of that upstream. A task with such runs is a suspect.
+    lone_crashes : int
+        Number of these crashes where no other job's task was starting.
+    last_crashed_run : int
+        The newest run that was counted as crashed.
     """
 
     phase: int = WAITING
@@ -67,6 +74,9 @@
     started_ms: int = 0
     newer_checkpoint: str = ""
     ran_ms: int = 0
+    crashed_vms: tuple[str, ...] = ()
+    lone_crashes: int = 0
+    last_crashed_run: int = 0
 
 
 class StepState(Struct, frozen=True, array_like=True):
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -1,13 +1,16 @@
 """Stand-in of the platform's worker: runs tasks by number, token and lease.
 
-A task's `spec` is JSON: how long it works, and how it ends. Everything that was
-started is kept in a record that tests read.
+A task's `spec` is JSON: how long it works, and how it ends, or which tasks crash the
+worker that starts them. Everything that was started is kept in a record that tests
+read.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import os
+import sys
 import time
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -20,6 +23,8 @@
 STOP_S = 0.1
 CHECK_IN_S = 0.3
 TICK_S = 0.02
+CRASH_DELAY_S = 0.01
+RESTART_S = 0.5
 
 
 @dataclass
@@ -180,7 +185,12 @@
 
     def _carry_out(self, body: dict[str, Any]) -> str:
         self.state.extend(body)
-        return self.state.start(body)
+        reason = self.state.start(body)
+        index = int(body["task"].rpartition(".")[2])
+        if not reason and index in json.loads(body["spec"] or "{}").get("crashers", ()):
+            loop = asyncio.get_running_loop()
+            loop.call_later(CRASH_DELAY_S, _crash, body["task"])
+        return reason
 
 
 class _Stop(_Handler):
@@ -216,6 +226,13 @@
         self.finish({"record": self.state.record, "running": list(self.state.running)})
 
 
+def _crash(task: str) -> None:
+    """End this lifetime without notice; the next one begins after `RESTART_S`."""
+    print(json.dumps({"crashed_under": task}), flush=True)
+    command = [sys.executable, "-m", "standins.platform_worker", *sys.argv[1:]]
+    os.execv(sys.executable, [*command, "--delay-s", str(RESTART_S)])
+
+
 async def _check_in(state: WorkerState, control: str, body: dict[str, Any]) -> None:
     client = AsyncHTTPClient()
     number = 0
@@ -263,8 +280,10 @@
 @click.option("--port", type=int, required=True)
 @click.option("--control", required=True, help="Address for check-ins.")
 @click.option("--rack", default="r1")
-def main(port: int, control: str, rack: str) -> None:
+@click.option("--delay-s", default=0.0, help="Wait before serving.")
+def main(port: int, control: str, rack: str, delay_s: float) -> None:
     """Serve one worker until ended."""
+    time.sleep(delay_s)
     asyncio.run(_serve(port, control, rack))
 
 
