Ignore grants that an earlier agent process asked for

A grant echoes the clock reading of the agent's message. That clock starts anew with the VM: where a planner that was suspended answers messages from before the restart of a VM over the link of after it, the echo lies far ahead of the new clock. The agent then renewed leases and started runs for that whole time without its planner, while the planner gave its runs to others after 9.9 s.

A grant is now valid only if this process can have sent the reading that it echoes.

--- a/src/hyssoprill/coordination/upstream/planner_grant.py
+++ b/src/hyssoprill/coordination/upstream/planner_grant.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...clock import boottime_s
 
@@ -42,14 +42,22 @@
     ----------
     echoed_clock_s : float
         Newest clock reading of this agent that the planner has echoed.
+    began_s : float
+        When this agent process began, by the same clock.
     """
 
     term: int = 0
     echoed_clock_s: float = float("-inf")
+    began_s: float = field(default_factory=boottime_s)
 
     def update(self, term: int, echoed_clock_s: float) -> bool:
-        """Apply a planner's message; return False if it is from an older term."""
-        if term < self.term:
+        """Apply a planner's message; return whether it is valid.
+
+        It is not if it is from an older term, or echoes a reading that this process
+        cannot have sent: the clock starts anew with the VM, so that a reading from
+        before a restart may lie far ahead.
+        """
+        if term < self.term or not self.began_s <= echoed_clock_s <= boottime_s():
             return False
         if term > self.term:
             self.term = term
