Count runs that are closed already when telling a lone suspect from others

An incarnation that crashed may have runs that are closed in different rounds; a task whose run is closed in a later one then seemed to be the only one that was starting there. All runs that the upstream had not listed count now.

--- a/src/hyssoprill/coordination/planner/crashes.py
+++ b/src/hyssoprill/coordination/planner/crashes.py
@@ -14,6 +14,7 @@
 
 from msgspec.structs import replace
 
+from ...protocol.job import parse_job_id
 from ...protocol.upstream_key import parse_upstream_key
 
 if TYPE_CHECKING:
@@ -60,7 +61,7 @@
         for task, run in report.unlisted
         if task in open_runs and open_runs[task].run == run
     ]
-    jobs = {open_runs[task].step.job_id for task in suspects}
+    jobs = {parse_job_id(task) for task, _run in report.unlisted}
     crash = UpstreamCrash(parse_upstream_key(report.key).vm, len(jobs) == 1)
     return dict.fromkeys(suspects, crash)
 
--- a/src/hyssoprill/protocol/job.py
+++ b/src/hyssoprill/protocol/job.py
@@ -154,4 +154,16 @@
     return f"{job_id}.{occurrence}.{step}.{index}"
 
 
-__all__ = ["ZERO_AMOUNTS", "Job", "ResourceAmounts", "Step", "task_name"]
+def parse_job_id(task: str) -> str:
+    """Return the job's id from a task's name."""
+    return task.partition(".")[0]
+
+
+__all__ = [
+    "ZERO_AMOUNTS",
+    "Job",
+    "ResourceAmounts",
+    "Step",
+    "parse_job_id",
+    "task_name",
+]
