Place suspects on busy upstreams when idle ones cannot hold all of them

A gang, or a wide step, under which an upstream had crashed got idle upstreams only as long as one was idle; one too wide for them was never placed again while one stayed idle. Found by reading; both cases of the new test failed before and pass now.

--- a/src/hyssoprill/coordination/policy/dispatch/suspects.py
+++ b/src/hyssoprill/coordination/policy/dispatch/suspects.py
@@ -10,6 +10,8 @@
 
 from typing import TYPE_CHECKING
 
+from .placement import count_fits_on, free_now
+
 if TYPE_CHECKING:
     from .model import UpstreamView, WaitingStep
 
@@ -19,13 +21,15 @@
 ) -> list[UpstreamView]:
     """Return the upstreams on which a start of a step could be told from others.
 
-    A suspect gets idle upstreams as long as one of them could run a task.
+    A suspect gets idle upstreams if they can run all its tasks, but for a gang, whose
+    placement has rules of its own.
     """
     apart = [one for one in candidates if _is_apart(step, one)]
-    if not step.is_suspect:
+    if not step.is_suspect or step.step.gang:
         return apart
-    idle = [one for one in apart if one.is_idle and one.free.covers(step.step.need)]
-    return idle or apart
+    idle = [one for one in apart if one.is_idle]
+    room = sum(count_fits_on(step, one, free_now) for one in idle)
+    return idle if room >= len(step.indices) else apart
 
 
 def record_start(step: WaitingStep, upstream: UpstreamView) -> None:
--- a/tests/coordination/policy/dispatch/test_suspects.py
+++ b/tests/coordination/policy/dispatch/test_suspects.py
@@ -3,6 +3,9 @@
 import pytest
 
 from hyssoprill.coordination.policy.dispatch.dispatch import plan_round
+from hyssoprill.protocol.job import ResourceAmounts
+
+WHOLE = ResourceAmounts(8, 64_000, 262_144)
 
 
 def plan(pool, *waiting) -> dict[str, str]:
@@ -50,3 +53,12 @@
     step = suspect(pool, count=3)
     starts = plan_round([step], pool.upstreams, [], reclaim_s=2.9).starts
     assert [one.upstream for one in starts] == ["only"] * 3
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_suspects_that_idle_upstreams_cannot_hold_start_on_busy_ones_too(pool, gang):
+    pool.add_upstream("idle")
+    pool.add_upstream("busy", is_idle=False)
+    step = suspect(pool, count=2, need=WHOLE, gang=gang)
+    starts = plan_round([step], pool.upstreams, [], reclaim_s=2.9).starts
+    assert {one.upstream for one in starts} == {"idle", "busy"}
