Withdraw runs yet to start from upstreams whose capacity has shrunk

Callers would see an upstream that does not guard its capacity brought over it (LIMIT): a run that was planned on the old capacity and had not started, as its start was retried or not answered, stayed ordered after the upstream had reported a smaller capacity, and was started whenever a call got through. Cause: only new placements read the capacity; no part of the planner looked at open runs again.

Change: where the open runs of an upstream exceed its reported capacity, StopFinder requests a stop of all that it does not list as running, with the whole gang. Not only of the newest: those being stopped count until they have ended, so that none of the others may start meanwhile; none of them has done any work, and they are planned again on what is left. Listed runs go on, also beyond the capacity. A run is exempt for 1.2 s after it was planned, as a listing may lag that much behind a start. A restarted agent that has no listing yet does not accept starts and is passed over. A new planner decides the same from the first report.

--- a/src/hyssoprill/coordination/planner/stopping.py
+++ b/src/hyssoprill/coordination/planner/stopping.py
@@ -5,24 +5,37 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ...clock import boottime_s
+from ...clock import boottime_s, unix_ms
+from ...protocol.job import ZERO_AMOUNTS
 from ...state.job_table import OPEN, StepKey
 from ..policy.dispatch.draining import should_migrate
 from ..policy.dispatch.stalled_runs import should_restart
 from .runs import elapsed_s
 
 if TYPE_CHECKING:
-    from ...protocol.job import Step
+    from collections.abc import Iterable
+
+    from ...protocol.job import ResourceAmounts, Step
+    from ...protocol.upstream_messages import UpstreamReport
     from ...state.job_table import JobState, JobTable, OpenRun, TaskState
     from .failures import FailureTracker
     from .fleet import Fleet
     from .run_times import RunTimes
     from .runs import StopRequests
 
+MAX_LISTING_DELAY_S = 1.2
+"""A run that an upstream has started is reported as running within this time.
+
+Its agent reads the listing with renewals that wait for up to 1 s."""
+
 
 @dataclass(slots=True)
 class StopFinder:
-    """Finds open runs of finished jobs and broken gangs, stalled and draining ones."""
+    """Finds open runs that have to stop.
+
+    They are runs of finished jobs and of broken gangs, runs without progress, runs on
+    draining upstreams, and runs that were yet to start where capacity has shrunk.
+    """
 
     job_table: JobTable
     fleet: Fleet
@@ -42,6 +55,8 @@
                     )
                 if report.draining:
                     self._stop_draining(report.key, report.remaining_ms / 1000)
+                if report.accepting:
+                    self._withdraw_excess(report)
 
     def _stop_job(self, job_state: JobState) -> None:
         """Request stops of all runs of a finished job, or of its broken gangs."""
@@ -84,10 +99,53 @@
             if should_migrate(step, remaining_s, upstream_remaining_s):
                 self.stopping.add((task, run.run), "upstream leaves")
 
+    def _withdraw_excess(self, report: UpstreamReport) -> None:
+        """Request stops of runs yet to start on an upstream whose capacity has shrunk.
+
+        Runs that it lists go on, and those being stopped count until they have ended.
+        So none of the others may start; they are planned again on what is left.
+        """
+        open_runs = self.job_table.open_runs.get(report.key, {})
+        listed = {row.task: row.run for row in report.running}
+        pending = [
+            run for task, run in open_runs.items() if listed.get(task) != run.run
+        ]
+        if not pending or report.capacity.covers(self._total_need(open_runs.values())):
+            return
+        for run in pending:
+            step, state = self._look_up(run)
+            if not _may_be_unlisted(state):
+                self._withdraw(run, step)
+
+    def _withdraw(self, run: OpenRun, step: Step) -> None:
+        """Request a stop of a run, and of all runs of its gang."""
+        indices = range(step.count) if step.gang else (run.index,)
+        job_state = self.job_table.jobs[run.step.job_id]
+        tasks = job_state.step_state(run.step.occurrence, run.step.step).tasks
+        for index in indices:
+            if tasks[index].phase == OPEN:
+                task = run.step.task_name(index)
+                self.stopping.add((task, tasks[index].run), "capacity shrank")
+
+    def _total_need(self, runs: Iterable[OpenRun]) -> ResourceAmounts:
+        total = ZERO_AMOUNTS
+        for run in runs:
+            step = self.job_table.jobs[run.step.job_id].job.steps[run.step.step]
+            total = total.plus(step.need)
+        return total
+
     def _look_up(self, run: OpenRun) -> tuple[Step, TaskState]:
         job_state = self.job_table.jobs[run.step.job_id]
         state = job_state.step_state(run.step.occurrence, run.step.step)
         return job_state.job.steps[run.step.step], state.tasks[run.index]
 
 
+def _may_be_unlisted(task: TaskState) -> bool:
+    """Return whether the newest run of a task is too recent to be listed for certain.
+
+    A run from the future was started before the clock was set back.
+    """
+    return abs(unix_ms() - task.started_ms) < MAX_LISTING_DELAY_S * 1000
+
+
 __all__ = ["StopFinder"]
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -108,6 +108,7 @@
         self.vm = vm
         self.key = f"{vm}|10.0.0.1:80|100|i-{vm}"
         self.rack = rack
+        self.capacity = CAPACITY
         self.number = 1
         self.ended: list[EndReport] = []
         self.closed: list[tuple[str, int]] = []
@@ -122,7 +123,7 @@
             "g",
             "zone-a",
             self.accepting,
-            CAPACITY,
+            self.capacity,
             ["a", self.rack],
             list(self.running),
             list(self.ended),
