Shrink and grow capacities in the stateful test of runs

No change to what callers see: the test now covers capacities that change while runs start. Upstreams are resized at random, and one rule resizes all of them while starts are under way and carries these out late. Reports list what the model upstreams run, as those of agents do; before, they listed nothing.

The invariant that no upstream runs more than its full capacity stays as it was and holds after each step. It is checked after orders are carried out and after each late start, not within an order: members of a gang do not end together in the model, and what is left of a gang that is done is stopped by the same orders.

--- a/tests/coordination/planner/test_run_machine.py
+++ b/tests/coordination/planner/test_run_machine.py
@@ -1,8 +1,9 @@
 """Stateful property test of planners, agents and upstreams under random faults.
 
 Guards against a task running twice at a time, again after it was done, or more often
-than its attempts; against starts out of step order and beyond capacity; and against
-jobs that never end. The rules on runs are checked on what the model upstreams ran.
+than its attempts; against starts out of step order and beyond capacity, also where it
+shrinks; and against jobs that never end. The rules on runs are checked on what the
+model upstreams ran.
 """
 
 from __future__ import annotations
@@ -22,8 +23,10 @@
 from hyssoprill.clock import simulated_time
 from hyssoprill.coordination.planner import election, fleet, planner
 from hyssoprill.coordination.planner.election import PlannerElection
+from hyssoprill.coordination.planner.fleet import MAX_SILENCE_S
 from hyssoprill.coordination.planner.planner import Planner
 from hyssoprill.coordination.planner.replica import Replica
+from hyssoprill.coordination.planner.stopping import MAX_LISTING_DELAY_S
 from hyssoprill.coordination.upstream.planner_grant import (
     GRANT_TTL_S,
     MAX_CLOCK_DRIFT,
@@ -36,6 +39,7 @@
 from hyssoprill.protocol.upstream_messages import (
     EndReport,
     Grant,
+    RunReport,
     UpstreamReport,
     VmOrders,
     VmReport,
@@ -51,6 +55,12 @@
 )
 MAX_SETTLING_ROUNDS = 80
 SETTLING_ROUNDS_PER_JOB = 4
+SHRINK_NOTICE_S = MAX_SILENCE_S + MAX_LISTING_DELAY_S
+"""Orders in force after a report this long after an upstream's capacity has shrunk let
+nothing start beyond it.
+
+A run may be planned on a VM's previous report for `MAX_SILENCE_S`, and is taken as
+perhaps started for `MAX_LISTING_DELAY_S` after that."""
 
 
 @dataclass(frozen=True)
@@ -66,7 +76,16 @@
 
 @dataclass
 class ModelUpstream:
-    """One incarnation of an upstream, with the runs that it has started and ended."""
+    """One incarnation of an upstream, with the runs that it has started and ended.
+
+    Attributes
+    ----------
+    start_limit : int
+        Accelerators that no start may exceed. Follows a capacity that has grown at
+        once, and one that has shrunk once orders must respect it.
+    has_started_runs : bool
+        Whether a start was carried out that `start_limit` was not compared with yet.
+    """
 
     vm: str
     incarnation: int
@@ -78,6 +97,17 @@
     stopped: set[tuple[str, int]] = field(default_factory=set)
     lease_s: float = 0.0
     discarded_upto: int = 0
+    accelerators: int = CAPACITY.accelerators
+    start_limit: int = CAPACITY.accelerators
+    shrunk_s: float = 0.0
+    has_started_runs: bool = False
+
+    def resize(self, accelerators: int, now_s: float) -> None:
+        """Change the capacity that the upstream reports."""
+        if accelerators < self.accelerators:
+            self.shrunk_s = now_s
+        self.accelerators = accelerators
+        self.start_limit = max(self.start_limit, accelerators)
 
     @property
     def key(self) -> str:
@@ -169,6 +199,8 @@
     def _run_until_all_jobs_end(self) -> None:
         """Check that all jobs end once there are no more faults."""
         self.delayed.clear()
+        for upstream in self.upstreams.values():
+            upstream.resize(CAPACITY.accelerators, self.now_s)
         if not any(entry.planner._update_term() for entry in self.entries):
             self.claim(0)
         for _round in range(
@@ -314,12 +346,27 @@
                 self._report(vm, number)
             try:
                 self.runner.run(entry.planner.run_round())
+                is_complete = True
             except StoreError:
-                pass
+                is_complete = False
             for vm in reachable:
                 self.deliver(vm, 0, delayed)
+                if is_complete:
+                    self._limit_starts(vm, entry.election.term)
         self.store.lost_answers = 0
 
+    def _limit_starts(self, vm: str, term: int) -> None:
+        """Hold an upstream to its capacity if its orders must respect it by now.
+
+        Called once a planner has decided by a report that was just made.
+        """
+        upstream, orders = self.upstreams[vm], self.orders.get(vm)
+        newest = max(((one.term, one.number) for one in self.sent[vm]), default=(0, 0))
+        has_newest = orders is not None and (orders.term, orders.number) == newest
+        is_due = self.now_s > upstream.shrunk_s + SHRINK_NOTICE_S
+        if has_newest and newest[0] == term and is_due:
+            upstream.start_limit = upstream.accelerators
+
     def _renew(self, entry: ModelEntry) -> None:
         try:
             self.runner.run(entry.election._renew())
@@ -363,9 +410,9 @@
             "g",
             "z",
             True,
-            CAPACITY,
+            CAPACITY._replace(accelerators=upstream.accelerators),
             ["a", "r1"],
-            [],
+            [RunReport(task, run, "", 50) for task, run in upstream.running.items()],
             list(upstream.ended),
             closed,
         )
@@ -427,14 +474,39 @@
             upstream.ended = [
                 row for row in upstream.ended if row.number > one.stored_upto
             ]
+        self._check_start_limit(upstream)
 
     @rule(data=st.data())
     def execute_delayed_start(self, data: st.DataObject) -> None:
         if self.delayed:
-            position = data.draw(st.integers(0, len(self.delayed) - 1))
-            start = self.delayed.pop(position)
-            if self.upstreams[start.upstream.vm] is start.upstream:
-                self._start(start)
+            self._execute_delayed(data.draw(st.integers(0, len(self.delayed) - 1)))
+
+    @rule(number=st.integers(0, 1), accelerators=st.sampled_from([0, 1, 2]))
+    def shrink_during_starts(self, number: int, accelerators: int) -> None:
+        """Shrink all upstreams while starts are under way, and execute these late."""
+        self.run_rounds(number, 1, True, False, set(), True, "")
+        for vm in VMS:
+            self.resize(vm, accelerators)
+        self.run_rounds(number, 10, True, False, set(), True, "")
+        while self.delayed:
+            self._execute_delayed(0)
+
+    def _execute_delayed(self, position: int) -> None:
+        start = self.delayed.pop(position)
+        if self.upstreams[start.upstream.vm] is start.upstream:
+            self._start(start)
+            self._check_start_limit(start.upstream)
+
+    def _check_start_limit(self, upstream: ModelUpstream) -> None:
+        """Check that new starts have not brought an upstream over its limit.
+
+        Called once orders are carried out in full: here, other than on the platform,
+        the members of a gang do not end together, and the rest is stopped by them.
+        """
+        used = self._used_accelerators(upstream)
+        if upstream.has_started_runs:
+            assert used <= upstream.start_limit, "start beyond the capacity"
+        upstream.has_started_runs = False
 
     def _start(self, start: DelayedStart) -> None:
         task = start.task
@@ -442,6 +514,7 @@
             return
         if not start.upstream.start(start.term, task, start.run):
             return
+        start.upstream.has_started_runs = True
         assert task not in self.done, "a task was started again after it was done"
         assert self.failures[task] < MAX_ATTEMPTS, "max_attempts exceeded"
         job_id, _occurrence, step, _index = task.split(".")
@@ -465,6 +538,11 @@
             elif not gang:
                 self.failures[task] += 1
 
+    @rule(vm=st.sampled_from(VMS), accelerators=st.sampled_from([0, 1, 2, 4, 4]))
+    def resize(self, vm: str, accelerators: int) -> None:
+        """Shrink or grow the capacity of an upstream while it runs."""
+        self.upstreams[vm].resize(accelerators, self.now_s)
+
     @rule(vm=st.sampled_from(VMS))
     def crash(self, vm: str) -> None:
         """Replace an upstream by a new incarnation; ends not reported yet are lost."""
@@ -492,12 +570,16 @@
         if not hasattr(self, "upstreams"):
             return
         for upstream in self.upstreams.values():
-            used = 0
-            for task in upstream.running:
-                job_id, _occurrence, step, _index = task.split(".")
-                used += self.jobs[job_id].steps[int(step)].need.accelerators
+            used = self._used_accelerators(upstream)
             assert used <= CAPACITY.accelerators, "upstream exceeds its capacity"
 
+    def _used_accelerators(self, upstream: ModelUpstream) -> int:
+        used = 0
+        for task in upstream.running:
+            job_id, _occurrence, step, _index = task.split(".")
+            used += self.jobs[job_id].steps[int(step)].need.accelerators
+        return used
+
 
 RunMachine.TestCase.settings = settings(
     stateful_step_count=100, max_examples=settings().max_examples, deadline=None
