Keep a shrunk upstream exceeded while a step reserves what stops release

Callers would see an upstream that does not guard its capacity exceeded by one more start (LIMIT) after it has shrunk: a task that needs none of the exceeded resource, such as a task without accelerators, was started where listed runs held more accelerators than were left. Cause: reserve() took a free capacity that was negative already as part of the reserving task's deficit, covered it from the stops under way and set it to zero, though what is being stopped still counts. Without a shrink free capacity is never negative.

Change: only the task's own need beyond what is free is taken from pending stops. The new test failed before (the later step was started on "a") and passes; so do the other tests in tests/coordination/policy/dispatch.

--- a/src/hyssoprill/coordination/policy/dispatch/placement.py
+++ b/src/hyssoprill/coordination/policy/dispatch/placement.py
@@ -102,15 +102,20 @@
     """Account for one task of a step on an upstream.
 
     With `free_after_stops`, what exceeds the free capacity is taken from the capacity
-    that pending stops release.
+    that pending stops release. Free capacity that is negative, as the capacity of the
+    upstream has shrunk, stays so: it is exceeded until those stops have finished.
     """
     need = step.step.need
     upstream.hosts_costly_work |= step.is_costly_to_preempt
     upstream.has_serving_tasks |= step.step.target_ms > 0
     upstream.has_filling_tasks |= step.step.fills
-    upstream.free = upstream.free.minus(need)
+    before = upstream.free
+    upstream.free = before.minus(need)
     if free_capacity is free_after_stops:
-        deficit = [max(-amount, 0) for amount in upstream.free]
+        deficit = [
+            max(needed - max(free, 0), 0)
+            for needed, free in zip(need, before, strict=True)
+        ]
         upstream.releasing = upstream.releasing.minus(type(need)(*deficit))
         upstream.free = upstream.free.plus(type(need)(*deficit))
     step.tasks_per_upstream[upstream.key] = (
--- a/tests/coordination/policy/dispatch/test_dispatch.py
+++ b/tests/coordination/policy/dispatch/test_dispatch.py
@@ -84,6 +84,16 @@
     assert [unit for unit, _why in plan.stops] == [cheap]
 
 
+def test_nothing_starts_on_a_shrunk_upstream_when_a_step_reserves_it(pool):
+    shrunk = ResourceAmounts(-4, 30_000, 100_000)
+    pool.add_upstream("a", free=shrunk, releasing=WHOLE)
+    reserving = pool.waiting_step("first", need=ResourceAmounts(1, 1, 1), priority=0)
+    later = pool.waiting_step("later", need=ResourceAmounts(0, 1, 1), priority=1)
+    assert plan_round([reserving, later], pool.upstreams, []).starts == []
+    assert pool.upstreams[0].free.accelerators == -4
+    assert pool.upstreams[0].releasing.accelerators == 7
+
+
 def test_releasing_capacity_is_reserved_for_the_preempting_job(pool):
     pool.add_upstream("a", free=HALF, releasing=HALF)
     urgent = pool.waiting_step(
