Refuse runs whose start is pending when their upstream shrinks

Callers would see an upstream that does not guard its capacity brought over it (LIMIT) after its agent was out of contact with the planner: the agent keeps starts that wait for a recent grant or a lease, and carries them out as soon as a planner answers its report. That answer comes before the orders which withdraw them. Cause: the session did not look at the capacity in check-ins.

Change: when a check-in reports less of a resource, runs whose start is pending are refused, as on a draining upstream; the planner closes them and plans them again. Where a call is in doubt the run is stopped first. A run that is listed as running goes on.

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -88,6 +88,7 @@
         self._refused: dict[RunKey, str] = {}
         self._in_doubt: set[RunKey] = set()
         self._unlisted: set[RunKey] = set()
+        self._outdated: set[RunKey] = set()
         self._departure = DepartureWatch()
         self._listing: RunListing | None = None
         self._listing_sent_s = float("-inf")
@@ -102,6 +103,11 @@
     def update_check_in(self, check_in: CheckIn) -> None:
         """Apply a newer check-in of the same incarnation."""
         changed = not check_in.has_same_state(self.check_in)
+        if not check_in.capacity.covers(self.check_in.capacity):
+            # Ordered by a larger capacity; the planner has to decide again.
+            self._outdated |= {
+                key for key, (kind, _task) in self._calls.items() if kind == "start"
+            }
         self.check_in = check_in
         self._departure.record_check_in()
         if changed:
@@ -155,6 +161,7 @@
         for key in [one for one in self._refused if one not in self._ordered_runs]:
             del self._refused[key]
         self._started &= self._ordered_runs.keys()
+        self._outdated &= self._ordered_runs.keys()
         for key, order in self._ordered_runs.items():
             if key not in self._started and key not in self._refused:
                 self._call(key, "start", self._start, order)
@@ -198,11 +205,11 @@
     async def _start(self, key: RunKey, order: RunOrder) -> None:
         """Retry starting a run until it is accepted, refused or no longer ordered."""
         while key in self._ordered_runs and not self.gone:
-            reason = self._start_blocker()
-            if reason == "draining":
+            reason = self._refusal_reason(key)
+            if reason:
                 await self._refuse_when_settled(key, reason)
                 return
-            if reason:
+            if self._start_blocker():
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             sent_s, lease_s = boottime_s(), self._lease_length_s
@@ -270,10 +277,19 @@
         """Term of the planner, which is sent with each call."""
         return self._grant.term
 
-    def _start_blocker(self) -> str:
-        """Return why no run may be started now, or ''."""
+    def _refusal_reason(self, key: RunKey) -> str:
+        """Return why a run must not be started at all, or ''.
+
+        A run that an unanswered call has started goes on when the capacity shrinks.
+        """
         if self.check_in.draining:
             return "draining"
+        listing = self._listing
+        is_running = listing is not None and listing.lists_running(*key)
+        return "capacity shrank" if key in self._outdated and not is_running else ""
+
+    def _start_blocker(self) -> str:
+        """Return why no run may be started now, or ''."""
         if not self._grant.may_start:
             return "no recent grant from the planner"
         if self._listing is None or self._lease_length_s < MIN_LEASE_S:
