Bound the reports that an agent sends in answer to entries

On VMs this loads every entry just while the store is in trouble. Cause: the entry that has stepped down refers agents to nobody, the others still refer them to it, and each referral is answered with a report at once, which is answered with a referral at once. A grant with an older report number is answered at once as well; a planner that never adopts the number exchanges messages with the agent without a pause. Change: answers are at most three reports in 0.6 s; others wait for the next interval of the search or heartbeat. An entry that has said that its term is over is not followed for that term again. A referral names the planner before it changes an address, so that a new address causes no report of its own. A search stays quick for 14 intervals (2.1 s) instead of 8: a claim after a step-down that leaves no record takes over 1.6 s, and agents found the planner soon after it only because of the storm.

--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -25,6 +25,7 @@
 from ...transport.link import LinkHub
 from ..entry_watcher import EntryWatcher
 from ..identity import new_incarnation
+from .answer_limit import AnswerLimit
 from .planner_grant import PlannerGrant
 from .session import UpstreamSession
 
@@ -44,10 +45,17 @@
 
 A restarted or newly elected planner answers within tenths of a second, and jobs wait
 for it."""
-MAX_QUICK_SEARCHES = 8
-"""Number of reports at that interval, about as long as a claim of the term takes."""
+MAX_QUICK_SEARCHES = 14
+"""Number of reports at that interval, which outlast a claim of the term.
+
+Another entry claims it only after `CLAIM_AFTER_S` where the planner has stepped down
+without a record of it."""
 MAX_SEARCH_PEERS = 3
 """Entries that are asked in each of these; all others know who plans as well."""
+MAX_ANSWERING_REPORTS = 3
+"""Most reports within a heartbeat's interval that answer messages of entries.
+
+Entries answer each report at once and need not agree who plans."""
 MAX_ENDED_KEYS = 8
 """Number of ended incarnations that an agent reports, the newest."""
 MAX_LOGGED_RUNS = 8
@@ -97,6 +105,8 @@
         self._planner_heard_s = boottime_s()
         self._searching = True
         self._quick_searches = 0
+        self._answer_limit = AnswerLimit(MAX_ANSWERING_REPORTS, HEARTBEAT_INTERVAL_S)
+        self._ended_term = 0
         self._report_number = 1
         self._newest_orders = (0, 0)
         self._report_due = asyncio.Event()
@@ -195,7 +205,7 @@
         if not self._grant.update(message.term, message.echoed_clock_s):
             return
         self._confirm_planner(sender)
-        if message.report_number != self._report_number:
+        if message.report_number != self._report_number and self._answer_limit.allow():
             await self._send_report()
 
     @_handle.register
@@ -215,14 +225,22 @@
     async def _(self, message: Referral, sender: str) -> None:
         if message.term < self._grant.term:
             return
-        if not message.planner and sender == self._planner:
+        if message.planner:
+            await self._follow_referral(message, sender)
+        elif sender == self._planner:
+            self._ended_term = max(self._ended_term, message.term)
             self._search_planner()
-            self._report_due.set()
-        if not message.planner or message.planner in (sender, self._planner):
+            if self._answer_limit.allow():
+                self._report_due.set()
+
+    async def _follow_referral(self, message: Referral, sender: str) -> None:
+        """Report to the entry named, unless it has said that its term is over."""
+        is_known = message.planner in (sender, self._planner)
+        if is_known or message.term <= self._ended_term:
             return
-        self._entries.update(message.planner, message.link_url)
-        self._switch_planner(message.planner)
-        await self._send_report()
+        self._switch_planner(message.planner, message.link_url)
+        if self._answer_limit.allow():
+            await self._send_report()
 
     def _confirm_planner(self, sender: str) -> None:
         """Record that an entry answers as the planner, and drop links to others."""
@@ -232,14 +250,16 @@
         decision("planner_found", planner=sender, term=self._grant.term)
         self._planner = sender
         self._searching = False
+        self._ended_term = 0
         for other in self._hub.dialled_urls:
             if other != sender:
                 self._hub.hang_up(other)
 
-    def _switch_planner(self, name: str) -> None:
+    def _switch_planner(self, name: str, link_url: str) -> None:
         """Send reports to one entry from now on."""
         self._planner = name
         self._planner_heard_s = boottime_s()
+        self._entries.update(name, link_url)
         self._hub.dial(name, self._entries.link_urls[name])
 
     def _search_planner(self) -> None:
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -9,10 +9,12 @@
 from standins.job_store import MemoryStore
 
 from hyssoprill.clock import boottime_s
+from hyssoprill.coordination.planner.election import CLAIM_AFTER_S
 from hyssoprill.coordination.upstream import departure
 from hyssoprill.coordination.upstream import session as session_module
 from hyssoprill.coordination.upstream.vm_agent import (
     HEARTBEAT_INTERVAL_S,
+    SEARCH_INTERVAL_S,
     VmAgent,
 )
 from hyssoprill.errors import (
@@ -45,6 +47,10 @@
 
 KEY = "5f" * 32
 TASK = "00000000000000a1.0.0.0"
+COUNTED_S = 1.5
+"""Time during which reports are counted."""
+MAX_COUNTED_REPORTS = 2 * int(COUNTED_S / SEARCH_INTERVAL_S)
+"""Most reports to one entry in that time: two for each interval of the search."""
 
 
 class FakeUpstream:
@@ -114,11 +120,18 @@
 
 
 class FakeEntry:
-    """Entry that answers messages as the planner of a term, or with a referral."""
+    """Entry that answers messages as the planner of a term, or with a referral.
+
+    Attributes
+    ----------
+    adopts_reports : bool
+        Whether grants name the newest report as known.
+    """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.reports: list[VmReport] = []
+        self.adopts_reports = True
         self.term = 1
         self.is_planner = True
         self.referral: Referral | None = None
@@ -131,7 +144,8 @@
         if isinstance(envelope.body, VmReport):
             self.reports.append(envelope.body)
         if self.is_planner:
-            number = self.reports[-1].number if self.reports else 0
+            is_known = self.reports and self.adopts_reports
+            number = self.reports[-1].number if is_known else 0
             grant = Grant(self.term, envelope.body.clock_s, number)
             await self.hub.send(envelope.sender, grant)
         elif self.referral is not None:
@@ -371,6 +385,97 @@
     run_scenario(scenario)
 
 
+def refer_to_one_that_stepped_down(entries: list[FakeEntry]) -> None:
+    entries[0].referral = Referral(1, "", "")
+    for other in entries[1:]:
+        other.referral = Referral(1, entries[0].name, entries[0].url)
+
+
+def refer_to_each_other(entries: list[FakeEntry]) -> None:
+    for position, entry in enumerate(entries):
+        other = entries[position - 1]
+        entry.referral = Referral(1, other.name, other.url)
+
+
+def refer_to_each_other_at_wrong_addresses(entries: list[FakeEntry]) -> None:
+    for position, entry in enumerate(entries):
+        other, third = entries[position - 1], entries[position - 2]
+        entry.referral = Referral(1, other.name, third.url)
+
+
+def refer_with_rising_terms(entries: list[FakeEntry]) -> None:
+    entries[0].referral = Referral(2**40, "", "")
+    for other in entries[1:]:
+        other.referral = Referral(2**41, entries[0].name, entries[0].url)
+
+
+@pytest.mark.parametrize(
+    "set_beliefs",
+    [
+        refer_to_one_that_stepped_down,
+        refer_to_each_other,
+        refer_to_each_other_at_wrong_addresses,
+        refer_with_rising_terms,
+    ],
+)
+def test_reports_are_bounded_when_entries_disagree_who_plans(set_beliefs):
+    async def scenario(harness, agent):
+        entries = [await harness.add_entry(f"entry-{number}") for number in range(3)]
+        for entry in entries:
+            entry.is_planner = False
+        set_beliefs(entries)
+        agent.handle_check_in(check_in())
+        await harness.wait_until(lambda: all(entry.reports for entry in entries[:2]))
+        for entry in entries:
+            entry.reports.clear()
+        await asyncio.sleep(COUNTED_S)
+        counts = [len(entry.reports) for entry in entries]
+        assert max(counts) <= MAX_COUNTED_REPORTS, counts
+
+    run_scenario(scenario)
+
+
+def test_reports_are_bounded_when_the_planner_never_adopts_them():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        entry.adopts_reports = False
+        entry.reports.clear()
+        await asyncio.sleep(COUNTED_S)
+        assert 1 <= len(entry.reports) <= MAX_COUNTED_REPORTS
+
+    run_scenario(scenario)
+
+
+def test_agent_finds_the_planner_soon_when_entries_disagreed_until_its_claim():
+    async def scenario(harness, agent):
+        former = await start_with_upstream(harness, agent)
+        claimant, other = [await harness.add_entry(f"entry-{n}") for n in (2, 3)]
+        for entry in (former, claimant, other):
+            entry.is_planner = False
+        refer_to_one_that_stepped_down([former, claimant, other])
+        await former.hub.send("vm-1", former.referral)
+        await asyncio.sleep(CLAIM_AFTER_S + HEARTBEAT_INTERVAL_S / 2)
+        claimant.is_planner, claimant.term = True, 2
+        other.referral = Referral(2, claimant.name, claimant.url)
+        await harness.wait_until(
+            lambda: agent._planner == claimant.name and not agent._searching,
+            HEARTBEAT_INTERVAL_S / 2,
+        )
+
+    run_scenario(scenario)
+
+
+def test_report_that_the_planner_does_not_know_is_sent_at_once():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+        entry.reports.clear()
+        await entry.hub.send("vm-1", Grant(1, boottime_s(), 0))
+        await harness.wait_until(lambda: entry.reports, SEARCH_INTERVAL_S)
+
+    run_scenario(scenario)
+
+
 def test_check_in_of_an_earlier_incarnation_is_refused():
     async def scenario(harness, agent):
         await start_with_upstream(harness, agent)
