Notice that a server has closed an idle connection

A tornado stream notices the end of its peer only while it reads or has a close callback. The new test failed before (an incomplete response) and passes.

--- a/src/hyssoprill/transport/http_channel.py
+++ b/src/hyssoprill/transport/http_channel.py
@@ -120,6 +120,7 @@
     async def _acquire_connection(self) -> IOStream:
         while self._idle:
             stream = self._idle.pop()
+            stream.set_close_callback(None)
             if not stream.closed():
                 return stream
         try:
@@ -169,8 +170,14 @@
         """Return a connection to the idle pool; False if it has to be closed."""
         if self._closed or stream.closed() or len(self._idle) >= MAX_IDLE_CONNECTIONS:
             return False
+        # A stream notices that the server has closed it only with a callback.
+        stream.set_close_callback(_ignore_close)
         self._idle.append(stream)
         return True
 
 
+def _ignore_close() -> None:
+    """Do nothing; a closed connection is dropped when it is next acquired."""
+
+
 __all__ = ["Answer", "HttpChannel", "NotListeningError"]
