Let suspects prefer idle upstreams, not insist on them; hold one back in a busy pool

Idleness is a preference of placement now, a suspect without a candidate holds one upstream back from further starts, and a guaranteed step starts beside a suspect. Of the three new tests in test_suspects.py two failed before (guaranteed_job, holds_one_back), the other guards the preference; all pass.

--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -18,7 +18,7 @@
 )
 from .preemption import STOP_COST, select_preemptions
 from .ranking import scheduling_order
-from .suspects import record_start, separate_suspects
+from .suspects import hold_upstream, record_start, separate_suspects
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -105,9 +105,10 @@
 
     While it may wait for its data's rack, only upstreams there, if any are eligible.
     """
-    candidates = separate_suspects(
-        step, _exclude_failing(step, eligible_upstreams(step, upstreams))
-    )
+    eligible = _exclude_failing(step, eligible_upstreams(step, upstreams))
+    candidates = separate_suspects(step, eligible)
+    if not candidates:
+        hold_upstream(step, eligible)
     rack = step.step.data_rack
     is_waiting = may_wait and _waits_for_rack(step)
     if rack and is_waiting and not step.within_guarantee:
--- a/src/hyssoprill/coordination/policy/dispatch/placement.py
+++ b/src/hyssoprill/coordination/policy/dispatch/placement.py
@@ -186,10 +186,11 @@
 
     def preference(
         one: UpstreamView,
-    ) -> tuple[bool, bool, int, float, bool, int, int, str]:
+    ) -> tuple[bool, bool, bool, int, float, bool, int, int, str]:
         left = free_capacity(one).minus(step.step.need)
         return (
             one.key in step.deprioritized_upstreams,
+            step.is_suspect and not one.is_idle,
             bool(data_rack) and one.rack != data_rack,
             one.penalty,
             -round(one.speed, 1) if step.is_urgent else 0.0,
--- a/src/hyssoprill/coordination/policy/dispatch/suspects.py
+++ b/src/hyssoprill/coordination/policy/dispatch/suspects.py
@@ -10,8 +10,6 @@
 
 from typing import TYPE_CHECKING
 
-from .placement import count_fits_on, free_now
-
 if TYPE_CHECKING:
     from .model import UpstreamView, WaitingStep
 
@@ -21,15 +19,20 @@
 ) -> list[UpstreamView]:
     """Return the upstreams on which a start of a step could be told from others.
 
-    A suspect gets idle upstreams if they can run all its tasks, but for a gang, whose
-    placement has rules of its own.
+    A step covered by a guarantee may start beside a suspect, as it must not wait.
     """
-    apart = [one for one in candidates if _is_apart(step, one)]
-    if not step.is_suspect or step.step.gang:
-        return apart
-    idle = [one for one in apart if one.is_idle]
-    room = sum(count_fits_on(step, one, free_now) for one in idle)
-    return idle if room >= len(step.indices) else apart
+    return [one for one in candidates if _is_apart(step, one)]
+
+
+def hold_upstream(step: WaitingStep, candidates: list[UpstreamView]) -> None:
+    """Keep further starts off one upstream until a suspect can start there.
+
+    In a busy pool, tasks of other jobs are always starting on every upstream.
+    """
+    able = [one for one in candidates if one.capacity.covers(step.step.need)]
+    if step.is_suspect and able:
+        upstream = min(able, key=lambda one: (len(one.starting_jobs), one.key))
+        upstream.starting_suspects.add(step.job.id)
 
 
 def record_start(step: WaitingStep, upstream: UpstreamView) -> None:
@@ -41,8 +44,9 @@
 
 
 def _is_apart(step: WaitingStep, upstream: UpstreamView) -> bool:
-    others = upstream.starting_jobs if step.is_suspect else upstream.starting_suspects
-    return others <= {step.job.id}
+    if step.is_suspect:
+        return upstream.starting_jobs <= {step.job.id}
+    return step.within_guarantee or upstream.starting_suspects <= {step.job.id}
 
 
-__all__ = ["record_start", "separate_suspects"]
+__all__ = ["hold_upstream", "record_start", "separate_suspects"]
--- a/tests/coordination/policy/dispatch/test_suspects.py
+++ b/tests/coordination/policy/dispatch/test_suspects.py
@@ -62,3 +62,25 @@
     step = suspect(pool, count=2, need=WHOLE, gang=gang)
     starts = plan_round([step], pool.upstreams, [], reclaim_s=2.9).starts
     assert {one.upstream for one in starts} == {"idle", "busy"}
+
+
+def test_guaranteed_suspect_may_preempt_beside_an_idle_upstream(pool):
+    pool.add_upstream("idle")
+    pool.add_upstream("busy", is_idle=False)
+    pool.add_running("other", "busy")
+    step = suspect(pool, count=2, need=WHOLE, within_guarantee=True, priority=0)
+    assert plan_round([step], pool.upstreams, pool.units, reclaim_s=2.9).stops
+
+
+def test_guaranteed_job_does_not_wait_for_a_suspect(pool):
+    pool.add_upstream("only", starting_jobs={"suspect"}, starting_suspects={"suspect"})
+    step = pool.waiting_step("other", within_guarantee=True, priority=0)
+    assert plan(pool, step) == {"other": "only"}
+
+
+def test_suspect_that_finds_all_upstreams_starting_tasks_holds_one_back(pool):
+    pool.add_upstream("a", is_idle=False, starting_jobs={"x", "y"})
+    pool.add_upstream("b", is_idle=False, starting_jobs={"x"})
+    step = suspect(pool, slack_s=1.0)
+    others = [pool.waiting_step(f"other-{n}", slack_s=5.0) for n in range(3)]
+    assert set(plan(pool, step, *others).values()) == {"a"}
