Wait for late starts when an upstream restarts under its id

An upstream may restart under its id and address, and calls name it by these only. A start without an answer is executed up to 12 s later, by the next incarnation if there is one, which knows neither of stops nor of ended runs, and whose clock makes the deadline void. When an incarnation ended, all of its runs were closed at once and begun elsewhere, whatever calls to it were still under way. An end of such a run on the next incarnation was credited to nobody and acknowledged.

Change: the agent keeps the runs of an ended incarnation that a later one may execute: those with a start that is under way, or without an answer for less than 12 s, and accepted ones that no listing has named, unless the process that answered no longer listens. Its last report names them (`unsettled`); the planner leaves exactly these open. A later incarnation of the same id stops them before it is reported as accepting starts, without an order. A run is settled once that incarnation lists it as ended or will never start it, once an incarnation of another id answers at the address, or 12 s and a longest lease after the end. An end on the later incarnation is credited to the open run.

--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -61,11 +61,17 @@
         return highest_numbers
 
     def close_expired(self, changes: StepChanges) -> None:
-        """Close runs on upstream incarnations that can no longer run tasks."""
+        """Close runs on upstream incarnations that can no longer run tasks.
+
+        Runs that a later incarnation may execute stay open until they are settled.
+        """
         for key, runs in self.job_table.open_runs.items():
             reason = self.fleet.end_reason(key) if runs else ""
-            if reason:
-                for task, run in runs.items():
+            if not reason:
+                continue
+            unsettled = self.fleet.unsettled_runs(key)
+            for task, run in runs.items():
+                if (task, run.run) not in unsettled:
                     checkpoint = self.fleet.latest_checkpoint(key, task, run.run)
                     self._close(changes, key, task, run, reason, checkpoint)
 
@@ -86,18 +92,26 @@
                     changes.record_checkpoint(run.step, run.index, row.checkpoint)
 
     def _close_reported_by(self, report: UpstreamReport, changes: StepChanges) -> None:
-        open_runs = self.job_table.open_runs.get(report.key, {})
         ends = [
             (row.task, row.run, row.outcome, row.checkpoint) for row in report.ended
         ]
+        for restarted in self.fleet.restarted_keys(report.key) if ends else ():
+            self._close_ended(changes, restarted, ends)
         ends += [(task, run, "closed", "") for task, run in report.closed]
         ends += [
             (task, run, f"refused: {why}", "") for task, run, why in report.refused
         ]
+        self._close_ended(changes, report.key, ends)
+
+    def _close_ended(
+        self, changes: StepChanges, key: str, ends: list[tuple[str, int, str, str]]
+    ) -> None:
+        """Close the open runs of an incarnation that are among the ends."""
+        open_runs = self.job_table.open_runs.get(key, {})
         for task, number, outcome, checkpoint in ends:
             run = open_runs.get(task)
             if run is not None and run.run == number:
-                self._close(changes, report.key, task, run, outcome, checkpoint)
+                self._close(changes, key, task, run, outcome, checkpoint)
 
     def _record_speed(self, upstream: str, run: OpenRun, ran_s: float) -> None:
         """Record the speed of a completed run, unless it says little of its upstream.
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -10,6 +10,7 @@
 from ..upstream.planner_grant import (
     LEASE_EXPIRY_MARGIN_S,
     LEASE_EXPIRY_S,
+    MAX_CALL_DELAY_S,
     MAX_CLOCK_DRIFT,
 )
 
@@ -24,6 +25,8 @@
 SETTLE_QUIET_S = 0.1
 """It starts earlier once all VMs with open runs have reported and no other VM has
 reported for the first time for this long."""
+UNSETTLED_EXPIRY_S = LEASE_EXPIRY_S + MAX_CALL_DELAY_S
+"""On a VM that has been silent for this long, no unsettled run can be left."""
 MAX_SILENCE_S = 1.6
 """A VM that has been silent for this long gets no new starts."""
 
@@ -158,18 +161,36 @@
         return None
 
     def end_reason(self, key: str) -> str:
-        """Return why an upstream incarnation can no longer run tasks, or ''."""
+        """Return why an upstream incarnation can no longer run tasks, or ''.
+
+        Its unsettled runs may still be executed by a later one.
+        """
         name = parse_upstream_key(key)
         vm = self.vms.get(name.vm)
         if vm is not None:
             if key in vm.ended_upstreams:
-                return "gone"
+                return "lapsed" if _is_long_silent(vm) else "gone"
             if any(parse_upstream_key(one).supersedes(name) for one in vm.upstreams):
                 return "replaced"
         if boottime_s() > self._lease_expiry_s(key, vm):
             return "lapsed"
         return ""
 
+    def unsettled_runs(self, key: str) -> frozenset[tuple[str, int]]:
+        """Return the runs of an ended incarnation that a later one may execute."""
+        vm = self.vms.get(key.partition("|")[0])
+        last = vm.last_reports.get(key) if vm is not None else None
+        if vm is None or last is None or _is_long_silent(vm):
+            return frozenset()
+        return frozenset(last.unsettled)
+
+    def restarted_keys(self, key: str) -> list[str]:
+        """Return the ended incarnations whose calls may have reached this one."""
+        name = parse_upstream_key(key)
+        vm = self.vms.get(name.vm)
+        ended = vm.ended_upstreams if vm is not None else ()
+        return [one for one in ended if name.restarts(parse_upstream_key(one))]
+
     def _lease_expiry_s(self, key: str, vm: VmState | None) -> float:
         """Return the planner's time after which no lease of an upstream can be valid.
 
@@ -190,4 +211,9 @@
         return expiry_s
 
 
+def _is_long_silent(vm: VmState) -> bool:
+    """Tell whether a VM has been silent for so long that no unsettled run is left."""
+    return boottime_s() - vm.last_contact_s > UNSETTLED_EXPIRY_S
+
+
 __all__ = ["Fleet", "VmState"]
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -19,6 +19,8 @@
 from .departure import DepartureWatch
 from .lease import MIN_LEASE_S, LeaseTracker
 from .progress import ProgressTracker, RunKey, run_key
+from .start_calls import StartCalls
+from .stop_calls import StopCalls
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -60,6 +62,9 @@
         Longest lease that the upstream accepts.
     on_change : callable
         Called when the report has changed.
+    inherited : frozenset of tuple
+        Runs that calls to earlier incarnations may start on this one. They are stopped
+        before the upstream is reported as accepting starts.
     """
 
     def __init__(
@@ -70,6 +75,7 @@
         grant: PlannerGrant,
         max_lease_s: float,
         on_change: Callable[[], None],
+        inherited: frozenset[RunKey] = frozenset(),
     ) -> None:
         self.key = key
         self.check_in = check_in
@@ -83,16 +89,17 @@
         self._ordered_runs: dict[RunKey, RunOrder] = {}
         self._calls: dict[RunKey, tuple[str, asyncio.Task[None]]] = {}
         self._started: set[RunKey] = set()
-        self._stop_confirmed_s: dict[RunKey, float] = {}
-        self._closed: set[RunKey] = set()
         self._refused: dict[RunKey, str] = {}
-        self._in_doubt: set[RunKey] = set()
-        self._unlisted: set[RunKey] = set()
+        self.start_calls = StartCalls()
+        self.stop_calls = StopCalls(inherited)
+        self._has_process_ended = False
         self._departure = DepartureWatch()
         self._listing: RunListing | None = None
         self._listing_sent_s = float("-inf")
         self._tasks = TaskSet()
         self._tasks.spawn(self._renew_loop())
+        for run in inherited:
+            self._call(run, "stop", self._stop)
 
     async def close(self) -> None:
         """Cancel all calls and close the port."""
@@ -116,12 +123,14 @@
             str(self.key),
             check_in.group,
             check_in.zone,
-            not check_in.draining and listing is not None,
+            not check_in.draining
+            and listing is not None
+            and self.stop_calls.are_inherited_settled,
             check_in.capacity,
             list(check_in.labels),
             running,
             list(listing.ended) if listing is not None else [],
-            sorted(self._closed),
+            sorted(self.stop_calls.closed),
             [(task, run, why) for (task, run), why in sorted(self._refused.items())],
             self.progress.stalled_runs(),
             check_in.remaining_ms,
@@ -130,9 +139,14 @@
         )
 
     @property
-    def unlisted_runs(self) -> list[RunKey]:
-        """Runs that a call may have started and that no listing has named since."""
-        return sorted(self._unlisted)
+    def has_listed(self) -> bool:
+        """Whether the incarnation has answered with a listing."""
+        return self._listing is not None
+
+    @property
+    def late_runs(self) -> set[RunKey]:
+        """Runs that a later incarnation may run, or may still start."""
+        return self.start_calls.late_runs(has_process_ended=self._has_process_ended)
 
     # Orders
 
@@ -143,31 +157,24 @@
         self._ordered_runs = {(run.task, run.run): run for run in orders.runs}
         if is_first:
             # An earlier agent process may already have tried to start these runs.
-            self._in_doubt |= self._ordered_runs.keys()
-        self._in_doubt &= self._ordered_runs.keys()
-        stopping = set(orders.stopping)
-        self._closed &= stopping
-        self._stop_confirmed_s = {
-            key: confirmed_s
-            for key, confirmed_s in self._stop_confirmed_s.items()
-            if key in stopping
-        }
+            self.start_calls.in_doubt |= self._ordered_runs.keys()
+        self.start_calls.in_doubt &= self._ordered_runs.keys()
         for key in [one for one in self._refused if one not in self._ordered_runs]:
             del self._refused[key]
         self._started &= self._ordered_runs.keys()
         for key, order in self._ordered_runs.items():
             if key not in self._started and key not in self._refused:
                 self._call(key, "start", self._start, order)
-        for key in stopping:
-            if key not in self._stop_confirmed_s:
-                self._call(key, "stop", self._stop)
+        for key in self.stop_calls.retain(orders.stopping):
+            self._call(key, "stop", self._stop)
         self._stop_unordered_runs()
 
     def _stop_unordered_runs(self) -> None:
         """Stop listed runs that no order names."""
         if self._orders is None or self._listing is None:
             return
-        known = self._ordered_runs.keys() | set(self._orders.stopping)
+        known = self._ordered_runs.keys() | self.stop_calls.inherited
+        known.update(self._orders.stopping)
         for row in self._listing.running:
             key = run_key(row)
             if key not in known and key not in self._calls:
@@ -206,7 +213,7 @@
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             sent_s, lease_s = boottime_s(), self._lease_length_s
-            self._unlisted.add(key)
+            self.start_calls.begin(key)
             try:
                 answer = await self._port.start(
                     order,
@@ -215,41 +222,38 @@
                     timeout_s=CALL_TIMEOUT_S,
                 )
             except UpstreamUnreachedError:
-                self._record_not_started(key)
+                self.start_calls.record_not_started(key)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             except UpstreamSilentError as exc:
                 decision("start_in_doubt", task=key[0], run=key[1], why=str(exc))
-                self._in_doubt.add(key)
+                self.start_calls.record_unanswered(key)
                 self._record_unanswered_call(sent_s, lease_s)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             except UpstreamGoneError:
+                self.start_calls.record_not_started(key)
                 self._end_incarnation("another incarnation answered a start")
                 return
             if answer.accepted:
+                self.start_calls.record_accepted(key)
                 self._started.add(key)
                 decision("run_started", task=key[0], run=key[1], term=self.term)
                 return
-            self._record_not_started(key)
+            self.start_calls.record_not_started(key)
             if answer.reason == "late":
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             await self._refuse_when_settled(key, answer.reason)
             return
 
-    def _record_not_started(self, key: RunKey) -> None:
-        """Record that a call has not started a run; an earlier one may have."""
-        if key not in self._in_doubt:
-            self._unlisted.discard(key)
-
     async def _refuse_when_settled(self, key: RunKey, reason: str) -> None:
         """Report a run as refused once it is certain that it never ran and never will.
 
         A refusal concerns a single call. An earlier unanswered call may have started
         the run, or may still start it, until the run has been stopped.
         """
-        if key in self._in_doubt or reason == RUN_ALREADY_ENDED:
+        if key in self.start_calls.in_doubt or reason == RUN_ALREADY_ENDED:
             await self._stop(key)
             confirmed_s = boottime_s()
             while self._listing_sent_s <= confirmed_s or (
@@ -295,7 +299,7 @@
                 self._end_incarnation("another incarnation answered a stop")
                 return
             if done:
-                self._stop_confirmed_s[key] = boottime_s()
+                self.stop_calls.record_confirmed(key)
                 return
             await asyncio.sleep(RETRY_DELAY_S)
 
@@ -315,6 +319,7 @@
                     refused=isinstance(exc, UpstreamNotListeningError)
                 )
                 if self._departure.has_ended(self.check_in):
+                    self._has_process_ended = True
                     self._end_incarnation("it no longer listens")
                     return
                 if not isinstance(exc, UpstreamUnreachedError):
@@ -368,17 +373,8 @@
         self._listing = listing
         self._listing_sent_s = sent_s
         newly_stalled = self.progress.update(listing)
-        present = {run_key(row) for row in listing.running}
-        present |= {(row.task, row.run) for row in listing.ended}
-        self._unlisted -= present
-        closed = {
-            key
-            for key, confirmed_s in self._stop_confirmed_s.items()
-            if confirmed_s < sent_s and key not in present
-        }
-        newly_closed = closed - self._closed
-        self._closed |= closed
-        self._unlisted -= closed
+        newly_closed = self.stop_calls.apply_listing(listing, sent_s)
+        self.start_calls.record_listed(listing.runs | newly_closed)
         self._stop_unordered_runs()
         rows_changed = previous is None or (
             previous.ended != listing.ended
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -8,6 +8,8 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Self
 
+from msgspec.structs import replace
+
 from ...clock import boottime_s
 from ...logs import decision
 from ...protocol.message import Message
@@ -25,6 +27,7 @@
 from ...transport.link import LinkHub
 from ..entry_watcher import EntryWatcher
 from ..identity import new_incarnation
+from .late_starts import MAX_LOGGED_RUNS, LateStarts
 from .planner_grant import PlannerGrant
 from .session import UpstreamSession
 
@@ -50,8 +53,6 @@
 """Entries that are asked in each of these; all others know who plans as well."""
 MAX_ENDED_KEYS = 8
 """Number of ended incarnations that an agent reports, the newest."""
-MAX_LOGGED_RUNS = 8
-"""Number of runs that a log line names."""
 PLANNER_SILENCE_S = 1.0
 """After this long without an answer, the agent asks all entries who plans."""
 
@@ -92,6 +93,7 @@
         self._sessions: dict[UpstreamKey, UpstreamSession] = {}
         self._ended_keys: list[UpstreamKey] = []
         self._last_reports: dict[UpstreamKey, UpstreamReport] = {}
+        self._late_starts = LateStarts()
         self._entries = EntryWatcher(store, self._dial_entry)
         self._planner = ""
         self._planner_heard_s = boottime_s()
@@ -148,6 +150,7 @@
             self._grant,
             self._max_lease_s,
             self._mark_changed,
+            self._late_starts.inherited_by(key),
         )
         self._mark_changed()
         return True
@@ -159,20 +162,25 @@
 
     def _end_session(self, key: UpstreamKey, why: str) -> None:
         session = self._sessions.pop(key)
-        unlisted = session.unlisted_runs
+        unlisted = sorted(session.start_calls.unlisted)
+        late = sorted(session.late_runs)
         decision(
             "upstream_ended",
             upstream=str(key),
             why=why,
             unlisted=unlisted[:MAX_LOGGED_RUNS],
             unlisted_count=len(unlisted),
+            unsettled=late[:MAX_LOGGED_RUNS],
+            unsettled_count=len(late),
         )
         session.gone = True
+        self._late_starts.record_end(key, set(late), self._max_lease_s)
         self._ended_keys.append(key)
         self._last_reports[key] = session.report()
         for expired in self._ended_keys[:-MAX_ENDED_KEYS]:
-            self._last_reports.pop(expired, None)
-        del self._ended_keys[:-MAX_ENDED_KEYS]
+            if expired not in self._late_starts:
+                self._last_reports.pop(expired)
+                self._ended_keys.remove(expired)
         self._tasks.spawn(session.close())
         self._mark_changed()
 
@@ -269,6 +277,8 @@
                 for session in self._sessions.values()
             ):
                 self._mark_changed()
+            if self._late_starts.settle(self._sessions):
+                self._mark_changed()
             changed = self._report_due.is_set()
             self._report_due.clear()
             self._remove_ended_sessions()
@@ -300,14 +310,18 @@
                 self._report_number,
                 [session.report() for session in self._sessions.values()],
                 [str(key) for key in self._ended_keys],
-                [
-                    one
-                    for one in self._last_reports.values()
-                    if one.running or one.ended
-                ],
+                self._reported_last_states(),
             )
         )
 
+    def _reported_last_states(self) -> list[UpstreamReport]:
+        """Return the last reports of ended incarnations that tell of runs."""
+        reports = [
+            replace(one, unsettled=self._late_starts.unsettled(key))
+            for key, one in self._last_reports.items()
+        ]
+        return [one for one in reports if one.running or one.ended or one.unsettled]
+
     async def _send(self, message: Message) -> None:
         """Send to the planner, or to other entries while the planner is unknown.
 
--- a/src/hyssoprill/ports/upstream.py
+++ b/src/hyssoprill/ports/upstream.py
@@ -64,6 +64,11 @@
     ended: tuple[EndReport, ...]
     started_ms: int = 0
 
+    @property
+    def runs(self) -> set[tuple[str, int]]:
+        """Task and number of all listed runs."""
+        return {(row.task, row.run) for row in (*self.running, *self.ended)}
+
     def lists_running(self, task: str, run: int) -> bool:
         """Tell whether a run is listed as running."""
         return any((row.task, row.run) == (task, run) for row in self.running)
--- a/src/hyssoprill/protocol/upstream_key.py
+++ b/src/hyssoprill/protocol/upstream_key.py
@@ -27,6 +27,13 @@
         same_address = (self.vm, self.address) == (other.vm, other.address)
         return same_address and self.started_ms > other.started_ms
 
+    def restarts(self, other: UpstreamKey) -> bool:
+        """Tell whether calls to the other, ended incarnation also reach this one.
+
+        Calls name an incarnation by its address and id only.
+        """
+        return self.supersedes(other) and self.id == other.id
+
 
 def parse_upstream_key(text: str) -> UpstreamKey:
     """Parse the text form of a key.
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -71,6 +71,8 @@
     lease_uncertainty_s : float
         For this long after the report, a call without an answer may still extend the
         lease.
+    unsettled : list of tuple
+        Runs of an ended incarnation that a later one may run, or may still start.
     """
 
     key: str
@@ -87,6 +89,7 @@
     remaining_ms: int = -1
     draining: bool = False
     lease_uncertainty_s: float = 0.0
+    unsettled: list[tuple[str, int]] = []
 
 
 class VmReport(Message):
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -115,6 +115,7 @@
         self.accepting = True
         self.draining = False
         self.running: list[RunReport] = []
+        self.last_reports: list[UpstreamReport] = []
 
     def upstream_report(self) -> UpstreamReport:
         return UpstreamReport(
@@ -134,9 +135,25 @@
         self.number += 1
         upstreams = [self.upstream_report()]
         self.entry.planner.handle_report(
-            VmReport(self.vm, 1.0, self.number, upstreams, list(self.ended_keys))
+            VmReport(
+                self.vm,
+                1.0,
+                self.number,
+                upstreams,
+                list(self.ended_keys),
+                list(self.last_reports),
+            )
         )
 
+    def restart(self, **last_state: Any) -> None:
+        """Report that the upstream has restarted under its id, and its last state."""
+        last = msgspec.structs.replace(self.upstream_report(), **last_state)
+        self.last_reports = [last]
+        self.ended_keys = [self.key]
+        self.key = self.key.replace("|100|", "|200|")
+        self.ended, self.closed, self.running = [], [], []
+        self.report()
+
     def leave(self) -> None:
         """Report that the upstream has left, and its last state."""
         self.number += 1
--- a/tests/coordination/planner/test_fleet.py
+++ b/tests/coordination/planner/test_fleet.py
@@ -25,9 +25,15 @@
     return clock
 
 
-def report(fleet: Fleet, *keys: str, gone: tuple[str, ...] = (), **fields) -> None:
+def report(
+    fleet: Fleet,
+    *keys: str,
+    gone: tuple[str, ...] = (),
+    last: tuple[UpstreamReport, ...] = (),
+    **fields,
+) -> None:
     upstreams = [UpstreamReport(key, "g", "z", True, **fields) for key in keys]
-    vm = fleet.apply_report(VmReport("vm-1", 1.0, 1, upstreams, list(gone)))
+    vm = fleet.apply_report(VmReport("vm-1", 1.0, 1, upstreams, list(gone), list(last)))
     vm.last_grant_s = vm.last_contact_s
 
 
@@ -67,6 +73,17 @@
     assert fleet.end_reason(KEY) == "replaced"
 
 
+def test_unsettled_run_lapses_when_its_vm_stays_silent(clock):
+    fleet = Fleet()
+    last = UpstreamReport(KEY, "g", "z", False, unsettled=[("t", 1)])
+    report(fleet, gone=(KEY,), last=(last,))
+    clock.now_s += fleet_module.UNSETTLED_EXPIRY_S - 0.1
+    assert fleet.unsettled_runs(KEY) == {("t", 1)}
+    clock.now_s += 0.2
+    assert fleet.unsettled_runs(KEY) == frozenset()
+    assert fleet.end_reason(KEY) == "lapsed"
+
+
 def test_upstream_that_is_not_reported_may_still_run_tasks(clock):
     fleet = Fleet()
     report(fleet, KEY)
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -210,6 +210,70 @@
     run_scenario(scenario)
 
 
+def test_unsettled_run_is_not_started_elsewhere_when_its_upstream_restarts(
+    run_scenario, make_agent
+):
+    async def scenario(harness):
+        agents = ("vm-1", "vm-2")
+        entry, (agent, other) = await start_planner(harness, make_agent, *agents)
+        await harness.submit(NAME, Step(count=2, need=WHOLE))
+        await harness.wait_until(lambda: len(entry.ordered_runs()) == 2)
+        task = next(
+            task for task, (key, _) in entry.ordered_runs().items() if key == agent.key
+        )
+        agent.restart(unsettled=[(task, 1)])
+        other.end(f"{NAME}.0.0.{1 - int(task[-1])}", 1, "done")
+        for _report in range(3):
+            await asyncio.sleep(0.1)
+            agent.report()
+            other.report()
+            assert task not in entry.ordered_runs()
+        agent.last_reports = []
+        agent.report()
+        await harness.wait_until(lambda: ordered(entry, task))
+        assert ordered(entry, task)[1] == 2
+
+    run_scenario(scenario)
+
+
+def test_settled_runs_are_restarted_at_once_beside_an_unsettled_one(
+    run_scenario, make_agent
+):
+    async def scenario(harness):
+        entry, (agent,) = await start_planner(harness, make_agent, "vm-1")
+        await harness.submit(NAME, Step(count=2, need=ONE))
+        await harness.wait_until(lambda: len(entry.ordered_runs()) == 2)
+        agent.restart(unsettled=[(f"{NAME}.0.0.0", 1)])
+        restarted = {f"{NAME}.0.0.1": (agent.key, 2)}
+        await harness.wait_until(lambda: entry.ordered_runs("vm-1") == restarted)
+        await asyncio.sleep(0.3)
+        assert entry.ordered_runs("vm-1") == restarted
+
+    run_scenario(scenario)
+
+
+def test_run_that_a_restarted_upstream_has_executed_late_is_not_repeated(
+    run_scenario, make_agent
+):
+    async def scenario(harness):
+        entry, (agent,) = await start_planner(harness, make_agent, "vm-1")
+        await harness.submit(NAME)
+        task = f"{NAME}.0.0.0"
+        await harness.wait_until(entry.ordered_runs)
+        agent.accepting = False
+        agent.restart(unsettled=[(task, 1)])
+        await asyncio.sleep(0.1)
+        agent.last_reports = []
+        agent.accepting = True
+        agent.end(task, 1, "done")
+        job = entry.replica.job_table.jobs[NAME]
+        await harness.wait_until(lambda: job.status == "completed")
+        await asyncio.sleep(0.3)
+        assert task not in entry.ordered_runs()
+
+    run_scenario(scenario)
+
+
 def test_run_that_ended_as_its_upstream_left_is_not_repeated(run_scenario, make_agent):
     async def scenario(harness):
         agents = ("vm-1", "vm-2")
--- a/tests/coordination/planner/test_run_machine.py
+++ b/tests/coordination/planner/test_run_machine.py
@@ -10,10 +10,13 @@
 import asyncio
 from collections import defaultdict
 from contextlib import ExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from math import inf
+from typing import TYPE_CHECKING
 from unittest.mock import patch
 
 import msgspec
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -26,6 +29,7 @@
 from hyssoprill.coordination.planner.replica import Replica
 from hyssoprill.coordination.upstream.planner_grant import (
     GRANT_TTL_S,
+    MAX_CALL_DELAY_S,
     MAX_CLOCK_DRIFT,
     MAX_ORDER_AGE_S,
 )
@@ -43,9 +47,14 @@
 from hyssoprill.state.job_table import CANCEL_PREFIX, JOB_PREFIX
 from hyssoprill.state.operator_config import OperatorConfig, WorkspaceConfig
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 VMS = ["vm-0", "vm-1", "vm-2"]
 CAPACITY = ResourceAmounts(4, 4000, 4000)
 MAX_ATTEMPTS = 2
+MAX_LEASE_S = 6.0
+"""Longest lease that an upstream accepts."""
 DIRECTORY = OperatorConfig(
     version=1, workspaces=(WorkspaceConfig("w", frozenset(), 6),)
 )
@@ -55,21 +64,34 @@
 
 @dataclass(frozen=True)
 class DelayedStart:
-    """A start that is executed some time after it was sent, but before its deadline."""
+    """A start that is executed some time after it was sent, but before its deadline.
+
+    A later incarnation of the same id executes it as well. Its clock starts anew, so
+    that the deadline is no limit there.
+    """
 
     upstream: ModelUpstream
     term: int
     task: str
     run: int
     deadline_s: float
+    sent_s: float
 
 
 @dataclass
 class ModelUpstream:
-    """One incarnation of an upstream, with the runs that it has started and ended."""
+    """One incarnation of an upstream, with the runs that it has started and ended.
+
+    Attributes
+    ----------
+    inherited : set of tuple
+        Runs that late starts of earlier incarnations may start here, until stopped.
+    """
 
     vm: str
     incarnation: int
+    id: str
+    inherited: set[tuple[str, int]] = field(default_factory=set)
     term: int = 0
     running: dict[str, int] = field(default_factory=dict)
     highest_run: dict[str, int] = field(default_factory=dict)
@@ -81,7 +103,7 @@
 
     @property
     def key(self) -> str:
-        return f"{self.vm}|10.0.0.1:80|{self.incarnation}|i-{self.incarnation}"
+        return f"{self.vm}|10.0.0.1:80|{self.incarnation}|{self.id}"
 
     def start(self, term: int, task: str, run: int) -> bool:
         """Start a run under the rules of an upstream; return whether it started."""
@@ -143,7 +165,8 @@
         self.store.page_records = 2
         self.sent: dict[str, list[VmOrders]] = defaultdict(list)
         self.entries = [self._entry(f"entry-{n}") for n in range(2)]
-        self.upstreams = {vm: ModelUpstream(vm, 1) for vm in VMS}
+        self.upstreams = {vm: ModelUpstream(vm, 1, "i-1") for vm in VMS}
+        self.unsettled: dict[str, dict[str, set[tuple[str, int]]]] = defaultdict(dict)
         self.orders: dict[str, VmOrders] = {}
         self.delayed: list[DelayedStart] = []
         self.granted_s: dict[str, float] = {}
@@ -180,6 +203,7 @@
                     self.runner.run(self.entries[number].replica.read_once(0.0))
                 self._run_round(number, True, False, set(), False)
             for vm in VMS:
+                self.stop_inherited(vm)
                 # Agents repeat starts and stops that were not answered.
                 if vm in self.orders:
                     self._execute_orders(vm, self.orders[vm], False)
@@ -353,6 +377,7 @@
 
     def _report(self, vm: str, number: int) -> None:
         upstream = self.upstreams[vm]
+        ended_keys, last_reports = self._last_state(upstream)
         stopping = self._stopping(vm)
         present = {(row.task, row.run) for row in upstream.ended}
         present |= set(upstream.running.items())
@@ -362,7 +387,7 @@
             upstream.key,
             "g",
             "z",
-            True,
+            not upstream.inherited,
             CAPACITY,
             ["a", "r1"],
             [],
@@ -370,12 +395,48 @@
             closed,
         )
         self.entries[number].planner.handle_report(
-            VmReport(vm, self.now_s, self.report_numbers[vm], [listed], [])
+            VmReport(
+                vm,
+                self.now_s,
+                self.report_numbers[vm],
+                [listed],
+                ended_keys,
+                last_reports,
+            )
         )
         if self.granted_s.get(vm) == self.now_s:
             lease_s = GRANT_TTL_S * (1 + MAX_CLOCK_DRIFT)
             upstream.lease_s = max(upstream.lease_s, self.now_s + lease_s)
 
+    def _last_state(
+        self, upstream: ModelUpstream
+    ) -> tuple[list[str], list[UpstreamReport]]:
+        """Return what an agent reports of earlier incarnations."""
+        unsettled = self.unsettled[upstream.vm]
+        return list(unsettled), [
+            UpstreamReport(key, "g", "z", False, unsettled=sorted(runs))
+            for key, runs in unsettled.items()
+        ]
+
+    @rule(vm=st.sampled_from(VMS))
+    def stop_inherited(self, vm: str) -> None:
+        """Stop the runs that earlier incarnations may still start on an upstream.
+
+        No upstream restarts once more while a call to the first incarnation is late.
+        """
+        upstream = self.upstreams[vm]
+        for task, run in upstream.inherited:
+            upstream.stop(upstream.term, task, run)
+        self.delayed = [
+            start
+            for start in self.delayed
+            if start.upstream.vm != vm
+            or (start.task, start.run) not in upstream.inherited
+        ]
+        upstream.inherited.clear()
+        for runs in self.unsettled[vm].values():
+            runs.clear()
+
     def _stopping(self, vm: str) -> set[tuple[str, int]]:
         orders = self.orders.get(vm)
         key = self.upstreams[vm].key
@@ -412,7 +473,12 @@
                 continue
             for run in one.runs if may_start else ():
                 start = DelayedStart(
-                    upstream, message.term, run.task, run.run, upstream.lease_s
+                    upstream,
+                    message.term,
+                    run.task,
+                    run.run,
+                    upstream.lease_s,
+                    self.now_s,
                 )
                 if delayed:
                     self.delayed.append(start)
@@ -420,7 +486,7 @@
                     self._start(start)
             for task, number in one.stopping:
                 upstream.stop(message.term, task, number)
-            wanted = {(run.task, run.run) for run in one.runs}
+            wanted = {(run.task, run.run) for run in one.runs} | upstream.inherited
             for task, number in list(upstream.running.items()):
                 if (task, number) not in wanted:
                     upstream.stop(message.term, task, number)
@@ -432,9 +498,19 @@
     def execute_delayed_start(self, data: st.DataObject) -> None:
         if self.delayed:
             position = data.draw(st.integers(0, len(self.delayed) - 1))
-            start = self.delayed.pop(position)
-            if self.upstreams[start.upstream.vm] is start.upstream:
-                self._start(start)
+            self._execute_late(self.delayed.pop(position))
+
+    def _execute_late(self, start: DelayedStart) -> None:
+        current = self.upstreams[start.upstream.vm]
+        if current is start.upstream:
+            self._start(start)
+        elif current.id == start.upstream.id and self._is_pending(start):
+            current.lease_s = max(current.lease_s, self.now_s + MAX_LEASE_S)
+            self._start(replace(start, upstream=current, deadline_s=inf))
+
+    def _is_pending(self, start: DelayedStart) -> bool:
+        """Tell whether a start without an answer may still be executed."""
+        return self.now_s - start.sent_s < MAX_CALL_DELAY_S
 
     def _start(self, start: DelayedStart) -> None:
         task = start.task
@@ -465,15 +541,24 @@
             elif not gang:
                 self.failures[task] += 1
 
-    @rule(vm=st.sampled_from(VMS))
-    def crash(self, vm: str) -> None:
+    @rule(vm=st.sampled_from(VMS), keeps_id=st.booleans())
+    def crash(self, vm: str, keeps_id: bool) -> None:
         """Replace an upstream by a new incarnation; ends not reported yet are lost."""
         upstream = self.upstreams[vm]
         self._discard_ends(
             [one for one in upstream.ended if one.number > upstream.discarded_upto]
         )
         self.incarnation += 1
-        self.upstreams[vm] = ModelUpstream(vm, self.incarnation)
+        new_id = upstream.id if keeps_id else f"i-{self.incarnation}"
+        late = {
+            (start.task, start.run)
+            for start in self.delayed
+            if start.upstream.vm == vm and start.upstream.id == new_id
+        }
+        self.unsettled[vm][upstream.key] = set(late)
+        for runs in self.unsettled[vm].values():
+            runs &= late
+        self.upstreams[vm] = ModelUpstream(vm, self.incarnation, new_id, set(late))
 
     # Invariants
 
@@ -503,3 +588,37 @@
     stateful_step_count=100, max_examples=settings().max_examples, deadline=None
 )
 TestRunMachine = RunMachine.TestCase
+
+
+@pytest.fixture
+def machine() -> Iterator[RunMachine]:
+    """Return a machine with its first job; at the end, all of its jobs must end."""
+    machine = RunMachine()
+    machine.set_up()
+    yield machine
+    machine.teardown()
+
+
+def start_late_and_restart(machine: RunMachine) -> None:
+    """Restart all upstreams under their ids while all starts are late, then execute."""
+    machine.run_rounds(0, 1, True, False, set(), True, "")
+    late = list(machine.delayed)
+    for vm in VMS:
+        machine.crash(vm, True)
+    for start in late:
+        machine._execute_late(start)
+    assert any(upstream.running for upstream in machine.upstreams.values())
+
+
+def test_task_runs_once_when_a_restarted_upstream_executes_its_start_late(machine):
+    start_late_and_restart(machine)
+    machine.run_rounds(0, 3, True, False, set(), False, "")
+
+
+def test_task_that_ended_after_a_late_start_is_not_started_again(machine):
+    start_late_and_restart(machine)
+    for vm in VMS:
+        machine.end(vm, "done")
+    for vm in VMS:
+        machine.stop_inherited(vm)
+    machine.run_rounds(0, 3, True, False, set(), False, "")
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -9,7 +9,7 @@
 from standins.job_store import MemoryStore
 
 from hyssoprill.clock import boottime_s
-from hyssoprill.coordination.upstream import departure
+from hyssoprill.coordination.upstream import departure, late_starts
 from hyssoprill.coordination.upstream import session as session_module
 from hyssoprill.coordination.upstream.vm_agent import (
     HEARTBEAT_INTERVAL_S,
@@ -58,6 +58,10 @@
         Number of following starts that get no answer.
     pending_starts : list of tuple
         Unanswered starts that may still be executed; a stop removes them.
+    answers_stops : bool
+        Whether stops are executed and answered.
+    stopped : set of tuple
+        Runs that were stopped; they never start later.
     leases : list of int or None
         Expiry that each renewal requested.
     """
@@ -68,6 +72,8 @@
         self.refusal = ""
         self.unanswered_starts = 0
         self.pending_starts: list[tuple[str, int]] = []
+        self.answers_stops = True
+        self.stopped: set[tuple[str, int]] = set()
         self.ended: list[EndReport] = []
         self.answers_renewals = True
         self.is_reachable = True
@@ -90,6 +96,9 @@
 
     async def stop(self, task, run, *, term, timeout_s):
         self.calls.append(("stop", task, run, term))
+        if not self.answers_stops:
+            raise UpstreamSilentError("no answer")
+        self.stopped.add((task, run))
         self.running.pop((task, run), None)
         if (task, run) in self.pending_starts:
             self.pending_starts.remove((task, run))
@@ -109,6 +118,12 @@
         rows = tuple(RunReport(task, run, "", 0) for task, run in self.running)
         return RunListing(self.clock_ms, rows, tuple(self.ended))
 
+    def execute_late_starts(self, other: FakeUpstream) -> None:
+        """Execute the unanswered starts of another incarnation here."""
+        for run in other.pending_starts:
+            if run not in self.stopped:
+                self.running[run] = "late"
+
     def close(self) -> None:
         pass
 
@@ -149,6 +164,7 @@
     def __init__(self) -> None:
         self.store = MemoryStore()
         self.upstream = FakeUpstream()
+        self.later = FakeUpstream()
         self.entries: list[FakeEntry] = []
 
     async def add_entry(self, name: str) -> FakeEntry:
@@ -189,7 +205,7 @@
             "vm-1",
             KEY,
             harness.store,
-            lambda _check_in: harness.upstream,
+            lambda one: harness.upstream if one.started_ms == 100 else harness.later,
             Metrics("agent", "vm-1"),
             max_lease_s=6.0,
         )
@@ -552,3 +568,133 @@
         assert longest_ms - harness.upstream.clock_ms < 4_600
 
     run_scenario(scenario)
+
+
+def unsettled_runs(entry: FakeEntry) -> list[tuple[str, int]]:
+    return [run for one in entry.reports[-1].last_reports for run in one.unsettled]
+
+
+async def start_without_answer(harness, agent) -> FakeEntry:
+    entry = await start_with_upstream(harness, agent)
+    harness.upstream.unanswered_starts = 1000
+    await entry.order(1, RunOrder(TASK, 1, "x", ""))
+    await harness.wait_until(lambda: harness.upstream.pending_starts)
+    return entry
+
+
+def test_run_is_unsettled_until_a_restarted_upstream_can_not_execute_its_start():
+    async def scenario(harness, agent):
+        entry = await start_without_answer(harness, agent)
+        harness.later.answers_stops = False
+        agent.handle_check_in(check_in(started_ms=200))
+        await harness.wait_until(lambda: entry.reports[-1].ended_keys)
+        harness.later.execute_late_starts(harness.upstream)
+        await harness.wait_until(lambda: harness.later.leases)
+        await asyncio.sleep(0.3)
+        assert unsettled_runs(entry) == [(TASK, 1)]
+        harness.later.answers_stops = True
+        await harness.wait_until(lambda: not unsettled_runs(entry))
+        assert harness.later.running == {}
+
+    run_scenario(scenario)
+
+
+def test_restarted_upstream_accepts_no_starts_while_late_runs_may_use_its_capacity():
+    async def scenario(harness, agent):
+        entry = await start_without_answer(harness, agent)
+        harness.later.answers_stops = False
+        agent.handle_check_in(check_in(started_ms=200))
+        harness.later.execute_late_starts(harness.upstream)
+        await harness.wait_until(
+            lambda: any(one.running for one in entry.reports[-1].upstreams)
+        )
+        assert not entry.reports[-1].upstreams[0].accepting
+        harness.later.answers_stops = True
+        await harness.wait_until(lambda: entry.reports[-1].upstreams[0].accepting)
+        assert harness.later.running == {}
+
+    run_scenario(scenario)
+
+
+def test_start_that_is_executed_after_a_restart_is_stopped_without_a_planner():
+    async def scenario(harness, agent):
+        entry = await start_without_answer(harness, agent)
+        entry.is_planner = False
+        agent.handle_check_in(check_in(started_ms=200))
+        await harness.wait_until(lambda: harness.later.stopped == {(TASK, 1)})
+        harness.later.execute_late_starts(harness.upstream)
+        assert harness.later.running == {}
+
+    run_scenario(scenario)
+
+
+def test_accepted_run_is_unsettled_when_its_upstream_restarts_before_it_is_listed():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        harness.upstream.answers_renewals = False
+        await asyncio.sleep(0.2)
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await harness.wait_until(lambda: harness.upstream.running)
+        harness.later.answers_stops = False
+        agent.handle_check_in(check_in(started_ms=200))
+        await harness.wait_until(lambda: unsettled_runs(entry) == [(TASK, 1)])
+
+    run_scenario(scenario)
+
+
+def test_listed_run_whose_starts_were_answered_is_settled_when_its_upstream_restarts():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await harness.wait_until(lambda: entry.reports[-1].upstreams[0].running)
+        harness.later.answers_stops = False
+        agent.handle_check_in(check_in(started_ms=200))
+        await harness.wait_until(lambda: entry.reports[-1].ended_keys)
+        assert unsettled_runs(entry) == []
+        assert ("stop", TASK, 1, 1) not in harness.later.calls
+
+    run_scenario(scenario)
+
+
+def test_run_is_settled_once_an_upstream_of_another_id_answers_at_the_address():
+    async def scenario(harness, agent):
+        entry = await start_without_answer(harness, agent)
+        harness.later.is_reachable = False
+        agent.handle_check_in(check_in(id="i-2", started_ms=200))
+        await harness.wait_until(lambda: unsettled_runs(entry) == [(TASK, 1)])
+        harness.later.is_reachable = True
+        await harness.wait_until(lambda: not unsettled_runs(entry))
+        assert ("stop", TASK, 1, 1) not in harness.later.calls
+
+    run_scenario(scenario)
+
+
+def test_run_of_an_upstream_that_does_not_return_is_settled_after_the_call_delay(
+    monkeypatch,
+):
+    monkeypatch.setattr(late_starts, "MAX_CALL_DELAY_S", 1.0)
+
+    async def scenario(harness, agent):
+        agent.set_max_lease(0.5)
+        entry = await start_without_answer(harness, agent)
+        agent.remove_upstream("i-1")
+        await harness.wait_until(lambda: unsettled_runs(entry) == [(TASK, 1)])
+        await asyncio.sleep(1.2)
+        assert unsettled_runs(entry) == [(TASK, 1)]
+        await harness.wait_until(lambda: not unsettled_runs(entry), 2.0)
+
+    run_scenario(scenario)
+
+
+def test_run_that_has_ended_on_a_restarted_upstream_is_settled_with_its_end():
+    async def scenario(harness, agent):
+        entry = await start_without_answer(harness, agent)
+        end = EndReport(1, TASK, 1, "done", "")
+        harness.later.ended = [end]
+        agent.handle_check_in(check_in(started_ms=200))
+        await harness.wait_until(
+            lambda: entry.reports[-1].ended_keys and not unsettled_runs(entry)
+        )
+        assert entry.reports[-1].upstreams[0].ended == [end]
+
+    run_scenario(scenario)
