Keep a start in doubt that its stop cancels

A start that waits for its answer is cancelled when the planner orders the stop of its run. The call was then recorded neither as unanswered, so that the planner knew nothing of the lease that it may extend, nor as in doubt. A doubt was also dropped while a stop was ordered. A new planner, which does not know of the stop, orders the run again; a refusal for want of room then counted as final although the first call may still be executed, and the run was begun elsewhere.

Change: a cancelled start counts as unanswered, and a doubt lasts while its run is to start or to stop.

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -158,7 +158,7 @@
         if is_first:
             # An earlier agent process may already have tried to start these runs.
             self.start_calls.in_doubt |= self._ordered_runs.keys()
-        self.start_calls.in_doubt &= self._ordered_runs.keys()
+        self.start_calls.in_doubt &= self._ordered_runs.keys() | set(orders.stopping)
         for key in [one for one in self._refused if one not in self._ordered_runs]:
             del self._refused[key]
         self._started &= self._ordered_runs.keys()
@@ -225,10 +225,13 @@
                 self.start_calls.record_not_started(key)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            except UpstreamSilentError as exc:
-                decision("start_in_doubt", task=key[0], run=key[1], why=str(exc))
+            except (UpstreamSilentError, asyncio.CancelledError) as exc:
+                why = str(exc) or "cancelled"
+                decision("start_in_doubt", task=key[0], run=key[1], why=why)
                 self.start_calls.record_unanswered(key)
                 self._record_unanswered_call(sent_s, lease_s)
+                if isinstance(exc, asyncio.CancelledError):
+                    raise
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             except UpstreamGoneError:
--- a/src/hyssoprill/coordination/upstream/start_calls.py
+++ b/src/hyssoprill/coordination/upstream/start_calls.py
@@ -19,7 +19,7 @@
     Attributes
     ----------
     in_doubt : set of tuple
-        Ordered runs that an earlier call may have started.
+        Runs to start or to stop that an earlier call may have started.
     unlisted : set of tuple
         Runs that a call may have started and that no listing has named since.
     """
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -56,6 +56,8 @@
         Reason with which starts are refused; '' accepts them.
     unanswered_starts : int
         Number of following starts that get no answer.
+    holds_starts : bool
+        Whether starts wait for an answer that does not come.
     pending_starts : list of tuple
         Unanswered starts that may still be executed; a stop removes them.
     answers_stops : bool
@@ -71,6 +73,7 @@
         self.running: dict[tuple[str, int], str] = {}
         self.refusal = ""
         self.unanswered_starts = 0
+        self.holds_starts = False
         self.pending_starts: list[tuple[str, int]] = []
         self.answers_stops = True
         self.stopped: set[tuple[str, int]] = set()
@@ -85,6 +88,9 @@
         if not self.is_reachable:
             raise UpstreamUnreachedError("no connection")
         self.calls.append(("start", order.task, order.run, term))
+        if self.holds_starts:
+            self.pending_starts.append((order.task, order.run))
+            await asyncio.Event().wait()
         if self.unanswered_starts:
             self.unanswered_starts -= 1
             self.pending_starts.append((order.task, order.run))
@@ -488,6 +494,49 @@
     return session.report().lease_uncertainty_s
 
 
+async def cancel_start_under_way(harness, agent) -> FakeEntry:
+    """Order a run and then its stop, without an answer to either call."""
+    entry = await start_with_upstream(harness, agent)
+    await entry.order(1)
+    harness.upstream.holds_starts = True
+    harness.upstream.answers_stops = False
+    await entry.order(2, RunOrder(TASK, 1, "x", ""))
+    await harness.wait_until(harness.started_runs)
+    for number in (3, 4):
+        await entry.order(number, stopping=[(TASK, 1)])
+        await harness.wait_until(lambda: ("stop", TASK, 1, 1) in harness.upstream.calls)
+        await asyncio.sleep(0.05)
+    return entry
+
+
+def test_start_that_is_cancelled_under_way_may_still_extend_the_lease():
+    async def scenario(harness, agent):
+        await cancel_start_under_way(harness, agent)
+        assert reported_in_doubt_s(agent)
+
+    run_scenario(scenario)
+
+
+def test_run_is_not_refused_while_a_cancelled_start_may_still_be_executed():
+    async def scenario(harness, agent):
+        entry = await cancel_start_under_way(harness, agent)
+        harness.upstream.holds_starts = False
+        harness.upstream.refusal = "room"
+        # A new planner does not know that the run was to stop.
+        entry.term = 2
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await harness.wait_until(
+            lambda: ("start", TASK, 1, 2) in harness.upstream.calls
+        )
+        await asyncio.sleep(0.3)
+        assert reported_refusals(entry) == []
+        harness.upstream.answers_stops = True
+        await harness.wait_until(lambda: reported_refusals(entry))
+        assert harness.upstream.pending_starts == []
+
+    run_scenario(scenario)
+
+
 def test_call_that_was_never_sent_is_not_in_doubt():
     async def scenario(harness, agent):
         entry = await start_with_upstream(harness, agent)
