Ignore the removal of an upstream that does not drain

A removal names an upstream by its id. One that was delayed and arrives after the upstream has restarted under that id ended the new incarnation: its runs were reported as gone and begun elsewhere while they went on, and its check-ins were refused from then on.

Change: a removal ends only a draining upstream, as one that leaves by plan has announced it (PROTOCOL, "Service discovery"); others are found to have ended by refused connections and missing check-ins, after 4 s. The new test failed before (the next check-in was refused). Two tests removed an upstream that had not announced its end; they announce it first now and check the same.

--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -156,9 +156,16 @@
         return True
 
     def remove_upstream(self, upstream_id: str) -> None:
-        """End all incarnations of an upstream that has left, with all of their runs."""
+        """End an upstream that has left, with all of its runs.
+
+        An upstream announces its end by draining. A removal of one that does not drain
+        may be late and mean an earlier incarnation.
+        """
         for key in [other for other in self._sessions if other.id == upstream_id]:
-            self._end_session(key, "the upstream left")
+            if self._sessions[key].check_in.draining:
+                self._end_session(key, "the upstream left")
+            else:
+                decision("removal_ignored", upstream=str(key), why="not draining")
 
     def _end_session(self, key: UpstreamKey, why: str) -> None:
         session = self._sessions.pop(key)
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -414,6 +414,20 @@
     run_scenario(scenario)
 
 
+def test_late_removal_does_not_end_an_upstream_that_has_restarted_under_its_id():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        agent.handle_check_in(check_in(sequence=2, draining=True, remaining_ms=300))
+        assert agent.handle_check_in(check_in(started_ms=200))
+        agent.remove_upstream("i-1")
+        assert agent.handle_check_in(check_in(started_ms=200, sequence=2))
+        await harness.wait_until(lambda: entry.reports[-1].ended_keys)
+        assert len(entry.reports[-1].ended_keys) == 1
+        await harness.wait_until(lambda: entry.reports[-1].upstreams)
+
+    run_scenario(scenario)
+
+
 def reported_refusals(entry: FakeEntry) -> list[tuple[str, int, str]]:
     return [row for report in entry.reports for row in report.upstreams[0].refused]
 
@@ -425,6 +439,7 @@
         end = EndReport(1, TASK, 1, "done", "")
         harness.upstream.ended = [end]
         await harness.wait_until(lambda: entry.reports[-1].upstreams[0].ended == [end])
+        agent.handle_check_in(check_in(sequence=2, draining=True))
         agent.remove_upstream("i-1")
         await harness.wait_until(lambda: entry.reports[-1].ended_keys == [key])
         last = entry.reports[-1].last_reports
@@ -726,6 +741,7 @@
     async def scenario(harness, agent):
         agent.set_max_lease(0.5)
         entry = await start_without_answer(harness, agent)
+        agent.handle_check_in(check_in(sequence=2, draining=True))
         agent.remove_upstream("i-1")
         await harness.wait_until(lambda: unsettled_runs(entry) == [(TASK, 1)])
         await asyncio.sleep(1.2)
