Count late renewals to an earlier incarnation in the lease of a restarted upstream

A renewal without an answer is executed up to 12 s later, by the next incarnation if the upstream has restarted under its id. The deadline lies far ahead on a clock that starts anew, so the renewal extends the lease by the longest one from then. The new incarnation was reported without any call in doubt; had its VM then fallen silent, its runs would have been begun elsewhere 9.9 s after the last grant while they could still run.

Change: the lease of an incarnation that restarts under the id of an earlier one is in doubt for 12 s and a longest lease after the end of the earlier. The new test failed before for the same id (in-doubt period 0.0 instead of over 17 s) and passed for another id.

--- a/src/hyssoprill/coordination/upstream/late_starts.py
+++ b/src/hyssoprill/coordination/upstream/late_starts.py
@@ -58,10 +58,9 @@
         self, key: UpstreamKey, runs: set[RunKey], max_lease_s: float
     ) -> None:
         """Record the runs that calls to an ended incarnation may still start."""
-        if runs:
-            lease_s = max_lease_s * (1 + MAX_CLOCK_DRIFT)
-            until_s = boottime_s() + MAX_CALL_DELAY_S + lease_s
-            self._ended[key] = _EndedIncarnation(frozenset(runs), set(runs), until_s)
+        lease_s = max_lease_s * (1 + MAX_CLOCK_DRIFT)
+        until_s = boottime_s() + MAX_CALL_DELAY_S + lease_s
+        self._ended[key] = _EndedIncarnation(frozenset(runs), set(runs), until_s)
 
     def unsettled(self, key: UpstreamKey) -> list[RunKey]:
         """Return the runs of an ended incarnation that are not settled."""
@@ -77,6 +76,20 @@
             for run in ended.runs
         )
 
+    def lease_until_s(self, key: UpstreamKey) -> float:
+        """Return until when calls to earlier incarnations may extend this one's lease.
+
+        Its clock starts anew, so that the deadline of such a call is no limit.
+        """
+        return max(
+            (
+                ended.until_s
+                for other, ended in self._ended.items()
+                if key.restarts(other)
+            ),
+            default=0.0,
+        )
+
     def settle(self, sessions: Mapping[UpstreamKey, UpstreamSession]) -> bool:
         """Settle runs by what later incarnations list; return whether any was."""
         has_settled = False
--- a/src/hyssoprill/coordination/upstream/lease.py
+++ b/src/hyssoprill/coordination/upstream/lease.py
@@ -32,15 +32,19 @@
         Limits how far leases may reach.
     max_lease_s : float
         Longest lease that the upstream accepts.
+    in_doubt_until_s : float
+        Until when calls to earlier incarnations may extend the lease.
     """
 
-    def __init__(self, grant: PlannerGrant, max_lease_s: float) -> None:
+    def __init__(
+        self, grant: PlannerGrant, max_lease_s: float, in_doubt_until_s: float
+    ) -> None:
         self._grant = grant
         self._max_lease_s = max_lease_s
         self._clock_ms = 0.0
         self._clock_synced_s = 0.0
         self._expires_s = 0.0
-        self._in_doubt_until_s = 0.0
+        self._in_doubt_until_s = in_doubt_until_s
 
     def sync_clock(self, clock_ms: float) -> None:
         """Record the current time of the upstream's clock."""
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -65,6 +65,8 @@
     inherited : frozenset of tuple
         Runs that calls to earlier incarnations may start on this one. They are stopped
         before the upstream is reported as accepting starts.
+    in_doubt_until_s : float
+        Until when such calls may extend the lease.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         max_lease_s: float,
         on_change: Callable[[], None],
         inherited: frozenset[RunKey] = frozenset(),
+        in_doubt_until_s: float = 0.0,
     ) -> None:
         self.key = key
         self.check_in = check_in
@@ -83,7 +86,7 @@
         self.progress = ProgressTracker()
         self._port = port
         self._grant = grant
-        self._lease_tracker = LeaseTracker(grant, max_lease_s)
+        self._lease_tracker = LeaseTracker(grant, max_lease_s, in_doubt_until_s)
         self._on_change = on_change
         self._orders: UpstreamOrders | None = None
         self._ordered_runs: dict[RunKey, RunOrder] = {}
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -151,6 +151,7 @@
             self._max_lease_s,
             self._mark_changed,
             self._late_starts.inherited_by(key),
+            self._late_starts.lease_until_s(key),
         )
         self._mark_changed()
         return True
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -11,6 +11,7 @@
 from hyssoprill.clock import boottime_s
 from hyssoprill.coordination.upstream import departure, late_starts
 from hyssoprill.coordination.upstream import session as session_module
+from hyssoprill.coordination.upstream.planner_grant import MAX_CALL_DELAY_S
 from hyssoprill.coordination.upstream.vm_agent import (
     HEARTBEAT_INTERVAL_S,
     VmAgent,
@@ -564,6 +565,22 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(("later_id", "is_in_doubt"), [("i-1", True), ("i-2", False)])
+def test_late_renewal_may_extend_the_lease_of_an_upstream_that_has_restarted(
+    later_id, is_in_doubt
+):
+    async def scenario(harness, agent):
+        await start_with_upstream(harness, agent)
+        assert reported_in_doubt_s(agent) == 0.0
+        agent.handle_check_in(check_in(id=later_id, started_ms=200))
+        until_s = MAX_CALL_DELAY_S + 6.0
+        in_doubt_s = reported_in_doubt_s(agent)
+        assert (in_doubt_s > until_s - 1.0) == is_in_doubt
+        assert bool(in_doubt_s) == is_in_doubt
+
+    run_scenario(scenario)
+
+
 def test_in_doubt_period_does_not_grow_with_calls_that_were_never_sent():
     async def scenario(harness, agent):
         await start_with_upstream(harness, agent)
