Report a listed end until it is stored

A renewal acknowledges ends by their number, and an upstream counts them anew after a restart. A renewal to an earlier incarnation of the same id that is executed late makes the new one forget ends that the planner has not stored. The next report no longer named them: the run stayed open for good, or was begun again after an end that counts as taken note of.

Change: an agent goes on reporting an end that it has read until the planner says that it is stored. An end that is forgotten before any listing names it is still lost. The new test failed before (the end was missing from the next report).

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -95,7 +95,7 @@
         self._refused: dict[RunKey, str] = {}
         self.start_calls = StartCalls()
         self.stop_calls = StopCalls(inherited)
-        self._has_process_ended = False
+        self.has_process_ended = False
         self._departure = DepartureWatch()
         self._listing: RunListing | None = None
         self._listing_sent_s = float("-inf")
@@ -146,11 +146,6 @@
         """Whether the incarnation has answered with a listing."""
         return self._listing is not None
 
-    @property
-    def late_runs(self) -> set[RunKey]:
-        """Runs that a later incarnation may run, or may still start."""
-        return self.start_calls.late_runs(has_process_ended=self._has_process_ended)
-
     # Orders
 
     def apply_orders(self, orders: UpstreamOrders) -> None:
@@ -325,7 +320,7 @@
                     refused=isinstance(exc, UpstreamNotListeningError)
                 )
                 if self._departure.has_ended(self.check_in):
-                    self._has_process_ended = True
+                    self.has_process_ended = True
                     self._end_incarnation("it no longer listens")
                     return
                 if not isinstance(exc, UpstreamUnreachedError):
@@ -346,16 +341,18 @@
     async def _renew_lease(self) -> RunListing:
         """Renew once; the first call only reads the listing and the clock."""
         is_first = self._listing is None
+        stored_upto = self._orders.stored_upto if self._orders is not None else 0
         expiry_ms = None
         if not is_first and self._lease_length_s > MIN_LEASE_S:
             expiry_ms = self._lease_expiry_ms()
-        return await self._port.renew_lease(
+        listing = await self._port.renew_lease(
             term=self._grant.term,
-            stored_upto=self._orders.stored_upto if self._orders is not None else 0,
+            stored_upto=stored_upto,
             lease_until_ms=expiry_ms,
             wait_s=0.0 if is_first else RENEW_WAIT_S,
             timeout_s=RENEW_TIMEOUT_S,
         )
+        return listing.with_unstored_ends(self._listing, stored_upto)
 
     @property
     def _lease_length_s(self) -> float:
--- a/src/hyssoprill/ports/upstream.py
+++ b/src/hyssoprill/ports/upstream.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Protocol
 
 from ..protocol.job import ZERO_AMOUNTS, ResourceAmounts
@@ -64,6 +64,22 @@
     ended: tuple[EndReport, ...]
     started_ms: int = 0
 
+    def with_unstored_ends(
+        self, previous: RunListing | None, stored_upto: int
+    ) -> RunListing:
+        """Return this listing with all ends of the previous one that are not stored.
+
+        A renewal that was sent to an earlier incarnation and is executed late
+        acknowledges ends by their number, which counts anew on this one.
+        """
+        listed = {row.number for row in self.ended}
+        missing = [
+            row
+            for row in (previous.ended if previous is not None else ())
+            if row.number > stored_upto and row.number not in listed
+        ]
+        return replace(self, ended=(*missing, *self.ended)) if missing else self
+
     @property
     def runs(self) -> set[tuple[str, int]]:
         """Task and number of all listed runs."""
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -159,9 +159,13 @@
         elif self.referral is not None:
             await self.hub.send(envelope.sender, self.referral)
 
-    async def order(self, number: int, *runs: RunOrder, stopping=()) -> None:
+    async def order(
+        self, number: int, *runs: RunOrder, stopping=(), stored_upto: int = 0
+    ) -> None:
         report = self.reports[-1]
-        orders = UpstreamOrders(report.upstreams[0].key, list(runs), list(stopping), 0)
+        orders = UpstreamOrders(
+            report.upstreams[0].key, list(runs), list(stopping), stored_upto
+        )
         await self.hub.send(
             "vm-1", VmOrders(self.term, number, report.clock_s, [orders])
         )
@@ -415,6 +419,23 @@
     run_scenario(scenario)
 
 
+def test_end_is_reported_until_it_is_stored_when_a_late_renewal_has_acknowledged_it():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        end = EndReport(1, TASK, 1, "done", "")
+        harness.upstream.ended = [end]
+        await harness.wait_until(lambda: entry.reports[-1].upstreams[0].ended == [end])
+        # Executes a renewal that was sent to an earlier incarnation.
+        harness.upstream.ended = []
+        harness.upstream.running[TASK, 2] = "x"
+        await harness.wait_until(lambda: entry.reports[-1].upstreams[0].running)
+        assert entry.reports[-1].upstreams[0].ended == [end]
+        await entry.order(1, RunOrder(TASK, 2, "x", ""), stored_upto=1)
+        await harness.wait_until(lambda: not entry.reports[-1].upstreams[0].ended)
+
+    run_scenario(scenario)
+
+
 def test_late_removal_does_not_end_an_upstream_that_has_restarted_under_its_id():
     async def scenario(harness, agent):
         entry = await start_with_upstream(harness, agent)
