--- a/src/hyssoprill/cli/trace.py
+++ b/src/hyssoprill/cli/trace.py
@@ -28,7 +28,9 @@
         "directory_in_force",
     }
 )
-UPSTREAM_EVENTS = frozenset({"upstream_found", "upstream_ended", "upstream_gone"})
+UPSTREAM_EVENTS = frozenset(
+    {"upstream_found", "upstream_ended", "upstream_gone", "runs_settled"}
+)
 CAUSAL_ORDER = (
     "call_refused",
     "job_accepted",
