--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -8,6 +8,8 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Self
 
+from msgspec.structs import replace
+
 from ...clock import boottime_s
 from ...logs import decision
 from ...protocol.message import Message
@@ -26,6 +28,7 @@
 from ..entry_watcher import EntryWatcher
 from ..identity import new_incarnation
 from .answer_limit import AnswerLimit
+from .late_starts import MAX_LOGGED_RUNS, LateStarts
 from .planner_grant import PlannerGrant
 from .session import UpstreamSession
 
@@ -58,8 +61,6 @@
 Entries answer each report at once and need not agree who plans."""
 MAX_ENDED_KEYS = 8
 """Number of ended incarnations that an agent reports, the newest."""
-MAX_LOGGED_RUNS = 8
-"""Number of runs that a log line names."""
 PLANNER_SILENCE_S = 1.0
 """After this long without an answer, the agent asks all entries who plans."""
 
@@ -100,6 +101,7 @@
         self._sessions: dict[UpstreamKey, UpstreamSession] = {}
         self._ended_keys: list[UpstreamKey] = []
         self._last_reports: dict[UpstreamKey, UpstreamReport] = {}
+        self._late_starts = LateStarts()
         self._entries = EntryWatcher(store, self._dial_entry)
         self._planner = ""
         self._planner_heard_s = boottime_s()
@@ -159,19 +161,31 @@
             self._grant,
             self._max_lease_s,
             self._mark_changed,
+            self._late_starts.inherited_by(key),
+            self._late_starts.lease_until_s(key),
         )
         self._mark_changed()
         return True
 
     def remove_upstream(self, upstream_id: str) -> None:
-        """End all incarnations of an upstream that has left, with all of their runs."""
+        """End an upstream that has left, with all of its runs.
+
+        An upstream announces its end by draining. A removal of one that does not drain
+        may be late and mean an earlier incarnation.
+        """
         for key in [other for other in self._sessions if other.id == upstream_id]:
-            self._sessions[key].record_end(crashed=False)
-            self._end_session(key, "the upstream left")
+            if self._sessions[key].check_in.draining:
+                self._sessions[key].record_end(crashed=False)
+                self._end_session(key, "the upstream left")
+            else:
+                decision("removal_ignored", upstream=str(key), why="not draining")
 
     def _end_session(self, key: UpstreamKey, why: str) -> None:
         session = self._sessions.pop(key)
-        unlisted = session.unlisted_runs
+        unlisted = sorted(session.start_calls.unlisted)
+        late = sorted(
+            session.start_calls.late_runs(has_process_ended=session.has_process_ended)
+        )
         decision(
             "upstream_ended",
             upstream=str(key),
@@ -179,12 +193,16 @@
             unlisted=unlisted[:MAX_LOGGED_RUNS],
             unlisted_count=len(unlisted),
             crashed=session.crashed,
+            unsettled=late[:MAX_LOGGED_RUNS],
+            unsettled_count=len(late),
         )
+        self._late_starts.record_end(key, set(late), self._max_lease_s)
         self._ended_keys.append(key)
         self._last_reports[key] = session.report()
         for expired in self._ended_keys[:-MAX_ENDED_KEYS]:
-            self._last_reports.pop(expired, None)
-        del self._ended_keys[:-MAX_ENDED_KEYS]
+            if expired not in self._late_starts:
+                self._last_reports.pop(expired)
+                self._ended_keys.remove(expired)
         self._tasks.spawn(session.close())
         self._mark_changed()
 
@@ -291,6 +309,8 @@
                 for session in self._sessions.values()
             ):
                 self._mark_changed()
+            if self._late_starts.settle(self._sessions):
+                self._mark_changed()
             changed = self._report_due.is_set()
             self._report_due.clear()
             self._remove_ended_sessions()
@@ -322,14 +342,22 @@
                 self._report_number,
                 [session.report() for session in self._sessions.values()],
                 [str(key) for key in self._ended_keys],
-                [
-                    one
-                    for one in self._last_reports.values()
-                    if one.running or one.ended or one.unlisted
-                ],
+                self._reported_last_states(),
             )
         )
 
+    def _reported_last_states(self) -> list[UpstreamReport]:
+        """Return the last reports of ended incarnations that tell of runs."""
+        reports = [
+            replace(one, unsettled=self._late_starts.unsettled(key))
+            for key, one in self._last_reports.items()
+        ]
+        return [
+            one
+            for one in reports
+            if one.running or one.ended or one.unsettled or one.unlisted
+        ]
+
     async def _send(self, message: Message) -> None:
         """Send to the planner, or to other entries while the planner is unknown.
 
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -76,6 +76,8 @@
     unlisted : list of tuple
         Where it crashed, the runs that a call may have started and that no listing has
         named since.
+    unsettled : list of tuple
+        Runs of an ended incarnation that a later one may run, or may still start.
     """
 
     key: str
@@ -94,6 +96,7 @@
     lease_uncertainty_s: float = 0.0
     crashed: bool = False
     unlisted: list[tuple[str, int]] = []
+    unsettled: list[tuple[str, int]] = []
 
 
 class VmReport(Message):
