Wait no longer for late starts than a call may be late, and not after an announced end

An upstream that restarts checks in with the agent of its VM, which then stops such runs, so that the lease of a run on an incarnation that nobody has seen need not be waited for; and one that has drained does not restart.

--- a/src/hyssoprill/coordination/upstream/late_starts.py
+++ b/src/hyssoprill/coordination/upstream/late_starts.py
@@ -31,13 +31,16 @@
 
     Attributes
     ----------
-    until_s : float
-        When no such call, and no lease of such a run, can be left.
+    calls_until_s : float
+        When no such call can be left.
+    leases_until_s : float
+        When no lease that such a call has extended can be left.
     """
 
     runs: frozenset[RunKey]
     unsettled: set[RunKey]
-    until_s: float
+    calls_until_s: float
+    leases_until_s: float
 
 
 class LateStarts:
@@ -45,7 +48,8 @@
 
     A run is settled once a later incarnation of the same id lists it as ended, or will
     never start it; once an incarnation of another id answers at the address, as it
-    rejects calls to the earlier; or when the time for such calls and leases is over.
+    rejects calls to the earlier; or when the time for such calls is over. An upstream
+    that restarts checks in with its agent before that.
     """
 
     def __init__(self) -> None:
@@ -59,8 +63,10 @@
     ) -> None:
         """Record the runs that calls to an ended incarnation may still start."""
         lease_s = max_lease_s * (1 + MAX_CLOCK_DRIFT)
-        until_s = boottime_s() + MAX_CALL_DELAY_S + lease_s
-        self._ended[key] = _EndedIncarnation(frozenset(runs), set(runs), until_s)
+        until_s = boottime_s() + MAX_CALL_DELAY_S
+        self._ended[key] = _EndedIncarnation(
+            frozenset(runs), set(runs), until_s, until_s + lease_s
+        )
 
     def unsettled(self, key: UpstreamKey) -> list[RunKey]:
         """Return the runs of an ended incarnation that are not settled."""
@@ -83,7 +89,7 @@
         """
         return max(
             (
-                ended.until_s
+                ended.leases_until_s
                 for other, ended in self._ended.items()
                 if key.restarts(other)
             ),
@@ -103,11 +109,11 @@
                 self._log(key, settled, f"listing of {session.key}")
                 ended.unsettled -= settled
                 has_settled |= bool(settled)
-            if not restarted and boottime_s() > ended.until_s:
-                self._log(key, ended.unsettled, "no call or lease can be left")
+            if not restarted and boottime_s() > ended.calls_until_s:
+                self._log(key, ended.unsettled, "no call can be left")
                 has_settled |= bool(ended.unsettled)
-                del self._ended[key]
-            elif boottime_s() > ended.until_s and not ended.unsettled:
+                ended.unsettled.clear()
+            if boottime_s() > ended.leases_until_s and not ended.unsettled:
                 del self._ended[key]
         return has_settled
 
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -156,6 +156,16 @@
             self.gone = True
             self.crashed = crashed and not self.check_in.draining
 
+    @property
+    def late_runs(self) -> set[RunKey]:
+        """Runs that an incarnation that follows under the same id may execute.
+
+        None does after an end that was announced.
+        """
+        if self.check_in.draining:
+            return set()
+        return self.start_calls.late_runs(has_process_ended=self.has_process_ended)
+
     @property
     def has_listed(self) -> bool:
         """Whether the incarnation has answered with a listing."""
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -183,9 +183,7 @@
     def _end_session(self, key: UpstreamKey, why: str) -> None:
         session = self._sessions.pop(key)
         unlisted = sorted(session.start_calls.unlisted)
-        late = sorted(
-            session.start_calls.late_runs(has_process_ended=session.has_process_ended)
-        )
+        late = sorted(session.late_runs)
         decision(
             "upstream_ended",
             upstream=str(key),
