Count a crash alone only against a run whose start has arrived

A run is certain to have been starting only if the upstream accepted it or broke off the call. Other unlisted runs make their task a suspect, which starts apart, but do not count as alone. Case in test_crashes.py; tests/coordination, tests/platform and tests/transport pass.

--- a/src/hyssoprill/coordination/planner/crashes.py
+++ b/src/hyssoprill/coordination/planner/crashes.py
@@ -35,7 +35,7 @@
     Attributes
     ----------
     is_lone_suspect : bool
-        Whether no other job's run was starting there.
+        Whether the run was starting there for certain, and no run of another job.
     """
 
     vm: str
@@ -56,14 +56,13 @@
     """
     if report is None or not report.crashed:
         return {}
-    suspects = [
-        task
-        for task, run in report.unlisted
+    vm = parse_upstream_key(report.key).vm
+    jobs = {parse_job_id(task) for task, _run, _has_arrived in report.unlisted}
+    return {
+        task: UpstreamCrash(vm, has_arrived and len(jobs) == 1)
+        for task, run, has_arrived in report.unlisted
         if task in open_runs and open_runs[task].run == run
-    ]
-    jobs = {parse_job_id(task) for task, _run in report.unlisted}
-    crash = UpstreamCrash(parse_upstream_key(report.key).vm, len(jobs) == 1)
-    return dict.fromkeys(suspects, crash)
+    }
 
 
 def record_crash(task: TaskState, crash: UpstreamCrash) -> TaskState:
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -7,6 +7,7 @@
 
 from ...clock import boottime_s
 from ...errors import (
+    UpstreamBrokenOffError,
     UpstreamGoneError,
     UpstreamNotListeningError,
     UpstreamSilentError,
@@ -147,7 +148,7 @@
             check_in.draining,
             self._lease_tracker.in_doubt_s,
             self.crashed,
-            sorted(self.start_calls.unlisted) if self.crashed else [],
+            self.start_calls.unlisted_rows() if self.crashed else [],
         )
 
     def record_end(self, *, crashed: bool) -> None:
@@ -252,7 +253,9 @@
             except (UpstreamSilentError, asyncio.CancelledError) as exc:
                 why = str(exc) or "cancelled"
                 decision("start_in_doubt", task=key[0], run=key[1], why=why)
-                self.start_calls.record_unanswered(key)
+                self.start_calls.record_unanswered(
+                    key, broken_off=isinstance(exc, UpstreamBrokenOffError)
+                )
                 self._record_unanswered_call(sent_s, lease_s)
                 if isinstance(exc, asyncio.CancelledError):
                     raise
--- a/src/hyssoprill/coordination/upstream/start_calls.py
+++ b/src/hyssoprill/coordination/upstream/start_calls.py
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         self.in_doubt: set[RunKey] = set()
         self.unlisted: set[RunKey] = set()
+        self._arrived: set[RunKey] = set()
         self._under_way_s: dict[RunKey, float] = {}
         self._unanswered_s: dict[RunKey, float] = {}
 
@@ -37,6 +38,7 @@
 
     def record_accepted(self, key: RunKey) -> None:
         """Record that the call was accepted."""
+        self._arrived.add(key)
         self._under_way_s.pop(key, None)
 
     def record_not_started(self, key: RunKey) -> None:
@@ -45,9 +47,11 @@
         if key not in self.in_doubt:
             self.unlisted.discard(key)
 
-    def record_unanswered(self, key: RunKey) -> None:
-        """Record that the call got no answer."""
+    def record_unanswered(self, key: RunKey, *, broken_off: bool) -> None:
+        """Record that no answer came in time, or before the connection broke."""
         self.in_doubt.add(key)
+        if broken_off:
+            self._arrived.add(key)
         self._unanswered_s[key] = self._under_way_s.pop(key)
         for old in set(self._unanswered_s) - self._recent(self._unanswered_s):
             del self._unanswered_s[old]
@@ -55,6 +59,11 @@
     def record_listed(self, keys: Iterable[RunKey]) -> None:
         """Record runs that a listing names, or that it shows to be closed."""
         self.unlisted.difference_update(keys)
+        self._arrived &= self.unlisted
+
+    def unlisted_rows(self) -> list[tuple[str, int, bool]]:
+        """Return the unlisted runs, and whether a call for each has arrived."""
+        return [(*key, key in self._arrived) for key in sorted(self.unlisted)]
 
     def late_runs(self, *, has_process_ended: bool) -> set[RunKey]:
         """Return the runs that a later incarnation may run, or may still start.
--- a/src/hyssoprill/errors.py
+++ b/src/hyssoprill/errors.py
@@ -146,6 +146,10 @@
     code = "upstream_silent"
 
 
+class UpstreamBrokenOffError(UpstreamSilentError):
+    """The upstream closed the connection before its answer was complete."""
+
+
 class UpstreamUnreachedError(UpstreamSilentError):
     """No connection to an upstream was made, so that nothing was sent."""
 
@@ -181,6 +185,7 @@
     "StoreMovedError",
     "StoreRefusedError",
     "UnservedError",
+    "UpstreamBrokenOffError",
     "UpstreamError",
     "UpstreamGoneError",
     "UpstreamSilentError",
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -75,7 +75,7 @@
         Whether the incarnation ended without notice while its agent went on.
     unlisted : list of tuple
         Where it crashed, the runs that a call may have started and that no listing has
-        named since.
+        named since, and whether a call is known to have arrived.
     unsettled : list of tuple
         Runs of an ended incarnation that a later one may run, or may still start.
     """
@@ -95,7 +95,7 @@
     draining: bool = False
     lease_uncertainty_s: float = 0.0
     crashed: bool = False
-    unlisted: list[tuple[str, int]] = []
+    unlisted: list[tuple[str, int, bool]] = []
     unsettled: list[tuple[str, int]] = []
 
 
--- a/src/hyssoprill/transport/http_channel.py
+++ b/src/hyssoprill/transport/http_channel.py
@@ -101,6 +101,8 @@
         ConnectionRefusedError
             If no connection was established, so that nothing was sent; of its subclass
             `NotListeningError` where the host refused it.
+        ConnectionAbortedError
+            If the server closed the connection before its response was complete.
         OSError
             If no complete response arrived within the timeout.
         """
@@ -156,7 +158,11 @@
             conn.finish()
             await conn.read_response(collector)
             finished = collector.finished
-        except (StreamClosedError, HTTPInputError) as exc:
+        except StreamClosedError as exc:
+            raise ConnectionAbortedError(
+                f"incomplete response to {path}: {exc}"
+            ) from exc
+        except HTTPInputError as exc:
             raise OSError(f"incomplete response to {path}: {exc}") from exc
         finally:
             keeps = collector.headers.get("Connection", "").lower() != "close"
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -163,7 +163,7 @@
             VmReport(self.vm, 1.0, self.number, [], [self.key], last)
         )
 
-    def crash(self, *unlisted: tuple[str, int]) -> None:
+    def crash(self, *unlisted: tuple[str, int, bool]) -> None:
         """Report that the upstream has crashed, and that its next incarnation is up."""
         before = msgspec.structs.replace(
             self.upstream_report(), crashed=True, unlisted=list(unlisted)
--- a/tests/coordination/planner/test_crashes.py
+++ b/tests/coordination/planner/test_crashes.py
@@ -20,7 +20,9 @@
 }
 
 
-def last_report(*unlisted: tuple[str, int], crashed: bool = True) -> UpstreamReport:
+def last_report(
+    *unlisted: tuple[str, int, bool], crashed: bool = True
+) -> UpstreamReport:
     key = "vm-1|10.0.0.1:80|100|i-1"
     return UpstreamReport(key, "g", "z", False, crashed=crashed, unlisted=[*unlisted])
 
@@ -41,9 +43,10 @@
 @pytest.mark.parametrize(
     ("unlisted", "suspects", "alone"),
     [
-        ([(TASK_A, 3), (TASK_B, 3)], {TASK_A, TASK_B}, False),
-        ([(TASK_A, 3), (TASK_B, 2)], {TASK_A}, False),
-        ([(TASK_A, 3)], {TASK_A}, True),
+        ([(TASK_A, 3, True), (TASK_B, 3, True)], {TASK_A, TASK_B}, False),
+        ([(TASK_A, 3, True), (TASK_B, 2, True)], {TASK_A}, False),
+        ([(TASK_A, 3, True)], {TASK_A}, True),
+        ([(TASK_A, 3, False)], {TASK_A}, False),
     ],
 )
 def test_only_open_runs_that_were_not_listed_are_suspects(unlisted, suspects, alone):
@@ -52,7 +55,7 @@
 
 
 def test_announced_end_of_an_upstream_makes_no_task_a_suspect():
-    assert not find_crashes(last_report((TASK_A, 3), crashed=False), OPEN_RUNS)
+    assert not find_crashes(last_report((TASK_A, 3, True), crashed=False), OPEN_RUNS)
 
 
 @pytest.mark.parametrize(
@@ -87,10 +90,10 @@
 async def crash_under(harness, entry, agents, task: str, *others: str) -> str:
     """Crash the upstream that has last been ordered to start a task; return its VM."""
     key, run = await harness.wait_until(lambda: entry.ordered_runs().get(task))
-    unlisted = [(other, entry.ordered_runs()[other][1]) for other in others]
+    unlisted = [(other, entry.ordered_runs()[other][1], True) for other in others]
     agent = agents[key.partition("|")[0]]
     assert agent.key == key
-    agent.crash((task, run), *unlisted)
+    agent.crash((task, run, True), *unlisted)
     await harness.wait_until(lambda: entry.ordered_runs().get(task) != (key, run))
     return agent.vm
 
@@ -125,7 +128,7 @@
         for agent in agents.values():
             agent.entry = second
             agent.report()
-        agents[key.partition("|")[0]].crash((TASK_A, run))
+        agents[key.partition("|")[0]].crash((TASK_A, run, True))
         await harness.wait_until(lambda: status(second, A) == "failed")
 
     run_scenario(scenario)
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -931,7 +931,7 @@
         await harness.wait_until(lambda: entry.reports[-1].ended_keys)
         (last,) = entry.reports[-1].last_reports
         assert last.crashed
-        assert list(last.unlisted) == [(starting, 1)]
+        assert list(last.unlisted) == [(starting, 1, True)]
 
     run_scenario(scenario)
 
