Clear a task of suspicion once a run of it works

The count is cleared when a listing shows progress, of a gang for all its members. Both cases of the new test failed before; tests/coordination/planner passes.

--- a/src/hyssoprill/coordination/planner/changes.py
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -86,6 +86,16 @@
         tasks = self._editable_tasks(key)
         tasks[index] = replace(tasks[index], newer_checkpoint=checkpoint)
 
+    def clear_suspicion(self, key: StepKey, index: int) -> None:
+        """Record that a run works, and so did not crash its upstream by its start.
+
+        A gang works only once all its members have started.
+        """
+        tasks = self._editable_tasks(key)
+        shared = range(len(tasks)) if self._step(key).gang else (index,)
+        for one in shared:
+            tasks[one] = replace(tasks[one], crashed_vms=(), lone_crashes=0)
+
     def end_run(
         self,
         key: StepKey,
@@ -105,7 +115,8 @@
         Parameters
         ----------
         outcome : str
-            How the run ended; `done` and `failed` change more than the phase.
+            How the run ended; `done`, `failed` and `stopped` change more than the
+            phase.
         checkpoint : str
             Checkpoint that the run has saved, or ''.
         ran_ms : int
--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -82,7 +82,7 @@
                 )
 
     def record_checkpoints(self, changes: StepChanges) -> None:
-        """Record new checkpoints of open runs, every `CHECKPOINT_INTERVAL_S`."""
+        """Record checkpoints and survived starts, every `CHECKPOINT_INTERVAL_S`."""
         if boottime_s() - self._checkpoints_recorded_s < CHECKPOINT_INTERVAL_S:
             return
         self._checkpoints_recorded_s = boottime_s()
@@ -90,11 +90,15 @@
             open_runs = self.job_table.open_runs.get(report.key, {})
             for row in report.running:
                 run = open_runs.get(row.task)
-                if run is None or run.run != row.run or not row.checkpoint:
+                if run is None or run.run != row.run:
                     continue
                 task = changes.task(run.step, run.index)
+                if task.phase != OPEN:
+                    continue
+                if row.percent and task.crashed_vms:
+                    changes.clear_suspicion(run.step, run.index)
                 recorded = task.newer_checkpoint or task.checkpoint
-                if task.phase == OPEN and recorded != row.checkpoint:
+                if row.checkpoint and recorded != row.checkpoint:
                     changes.record_checkpoint(run.step, run.index, row.checkpoint)
 
     def _close_reported_by(self, report: UpstreamReport, changes: StepChanges) -> None:
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -58,7 +58,8 @@
         Run time of a done task; 0 where it says little of the task, as after a resume.
     crashed_vms : tuple of str
         For each of its runs under which an upstream crashed before it had listed the
-        run, the VM of that upstream. A task with such runs is a suspect.
+        run, the VM of that upstream; empty once a later run has worked. A task with
+        such runs is a suspect.
     lone_crashes : int
         Number of these crashes where no other job's task was starting.
     last_crashed_run : int
@@ -168,7 +169,7 @@
 
     @property
     def has_failed(self) -> bool:
-        """Whether a task has used up its attempts."""
+        """Whether a task has used up its attempts, or was given up."""
         return any(
             task.phase == FAILED
             for state in self.steps.values()
--- a/tests/coordination/planner/test_crashes.py
+++ b/tests/coordination/planner/test_crashes.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hyssoprill.coordination.planner import closing
 from hyssoprill.coordination.planner.crashes import (
     UpstreamCrash,
     crashes_upstreams,
@@ -171,3 +172,25 @@
         assert status(entry, A) == "running"
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_run_that_has_worked_clears_its_task(
+    run_scenario, make_agent, monkeypatch, gang
+):
+    monkeypatch.setattr(closing, "CHECKPOINT_INTERVAL_S", 0.0)
+
+    async def scenario(harness):
+        entry, agents = await start_planner(harness, make_agent, "vm-1", "vm-2", "vm-3")
+        await harness.submit(A, Step(need=ONE, gang=gang), max_attempts=9)
+        await crash_under(harness, entry, agents, TASK_A)
+        key, run = await harness.wait_until(lambda: entry.ordered_runs().get(TASK_A))
+        agent = agents[key.partition("|")[0]]
+        agent.running = [RunReport(TASK_A, run, "", 60)]
+        agent.report()
+        steps = entry.replica.job_table.jobs[A].steps
+        await harness.wait_until(lambda: not steps[0, 0].tasks[0].crashed_vms)
+        await crash_under(harness, entry, agents, TASK_A)
+        assert status(entry, A) == "running"
+
+    run_scenario(scenario)
