--- a/review/harness/cluster.py
+++ b/review/harness/cluster.py
@@ -33,7 +33,7 @@
 SERVICE = "huvo11a"
 READY_TIMEOUT_S = 25.0
 RESTART_S = 2.0
-"""A worker that has crashed is back after this long."""
+"""A worker that has crashed, or left, is back after this long."""
 BOUNDS = {
     "contact_ms": 3000,
     "ack_ms": 4000,
@@ -62,16 +62,22 @@
     ----------
     folder : Path
         Where `record.txt` is written.
+
+    Attributes
+    ----------
+    keeps_ids : bool
+        Whether a worker that starts again does so under the id that it had.
     """
 
     def __init__(self, folder: Path) -> None:
+        self.keeps_ids = False
         self.events: list[dict[str, Any]] = []
         self._began_s = time.monotonic()
         self._record = open(folder / "record.txt", "w")  # noqa: SIM115
         self._lock = threading.Lock()
         self._processes: dict[str, subprocess.Popen[str]] = {}
         self._workers: dict[str, list[str]] = {}
-        self._lifetimes = 0
+        self._ids: dict[str, str] = {}
         self._closing = False
         self._temp = tempfile.TemporaryDirectory()
         self._deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -86,6 +92,7 @@
         )
         self.addresses: dict[str, str] = {}
         self.store = f"127.0.0.1:{free_port('127.0.0.1')}"
+        self._store_for_vms = self.store
 
     def __enter__(self) -> Self:
         return self
@@ -132,9 +139,13 @@
 
     # Processes
 
-    def start_store(self) -> None:
-        """Start the platform's store and write the first config."""
+    def start_store(self, *, proxied: bool = False) -> None:
+        """Start the platform's store, behind a proxy if asked, and write a config."""
         port = self.store.rpartition(":")[2]
+        if proxied:
+            self._store_for_vms = f"127.0.0.1:{free_port('127.0.0.1')}"
+            args = ["review/harness/proxy.py", self._store_for_vms, self.store]
+            self._spawn("proxy of store", args, {})
         self._spawn(
             "store", ["-m", "standins.platform_store", "--port", port], {}, "src"
         )
@@ -173,7 +184,7 @@
             "listen": {
                 one: self._at(address, one) for one in ("front", "ready", "control")
             },
-            "platform": {"address": self.store, "record_bytes": 262144},
+            "platform": {"address": self._store_for_vms, "record_bytes": 262144},
             "bounds": BOUNDS,
         }
         path = Path(self._temp.name) / f"{name}.json"
@@ -184,9 +195,10 @@
         self._spawn(name, args, {"HYSSOPRILL_SETTINGS": str(path)})
 
     def _start_worker(self, name: str) -> None:
-        self._lifetimes += 1
-        lifetime = f"i-{self._lifetimes:08x}"
-        self._spawn(f"worker of {name}", [*self._workers[name], "--id", lifetime], {})
+        if not self.keeps_ids or name not in self._ids:
+            self._ids[name] = f"i-{random.getrandbits(32):08x}"
+        command = [*self._workers[name], "--id", self._ids[name]]
+        self._spawn(f"worker of {name}", command, {})
 
     def _spawn(
         self, name: str, args: list[str], env: dict[str, str], *more_paths: str
@@ -207,7 +219,7 @@
         threading.Thread(target=self._follow, args=(name, process), daemon=True).start()
 
     def _follow(self, name: str, process: subprocess.Popen[str]) -> None:
-        """Record the lines of a process, and start a crashed worker again."""
+        """Record the lines of a process, and start a worker that has ended again."""
         assert process.stdout is not None
         for line in process.stdout:
             with suppress(ValueError):
--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -12,8 +12,9 @@
 crash_after_s
     The worker crashes this long after it has started the task.
 
-Lines on standard input set switches: `{"mute": true}` leaves all calls unanswered and
-not carried out, `{"shed": true}` answers starts with 503 and does nothing.
+Lines on standard input set switches: `{"reset": true}` closes the connection of each
+call, which is not carried out, and `{"shed": true}` answers starts with 503. With
+`{"drain": true}` the worker drains and then leaves.
 """
 
 from __future__ import annotations
@@ -34,8 +35,9 @@
 MAX_HOLD_MS = 6000
 STOP_S = 0.1
 HEARTBEAT_S = 1.5
+DRAIN_S = 2.0
+"""From the ack that the worker drains until it leaves, at least."""
 TICK_S = 0.02
-NEVER_S = 3600.0
 MAX_LISTED_ENDS = 500
 
 
@@ -72,6 +74,7 @@
     def __init__(self, worker_id: str) -> None:
         self.id = worker_id
         self.born = time.time_ns() // 1_000_000
+        self._began_s = time.monotonic()
         self.token = 0
         self.lease_ms = 0
         self.running: dict[str, Run] = {}
@@ -79,12 +82,13 @@
         self.ended: list[list[Any]] = []
         self.end_count = 0
         self.news = asyncio.Event()
-        self.switches: dict[str, Any] = {"mute": False, "shed": False}
+        self.switches: dict[str, Any] = {"reset": False, "shed": False, "drain": False}
+        self.switched = asyncio.Event()
 
     @property
     def clock_ms(self) -> int:
-        """The worker's own steady clock."""
-        return int(time.monotonic() * 1000)
+        """The worker's own steady clock, which starts anew with each lifetime."""
+        return int((time.monotonic() - self._began_s) * 1000)
 
     def extend(self, body: dict[str, Any]) -> None:
         """Extend the lease, by `MAX_HOLD_MS` at most, and never shorten it."""
@@ -158,9 +162,10 @@
     def initialize(self, worker: Worker) -> None:
         self.worker = worker
 
-    async def prepare(self) -> None:
-        if self.worker.switches["mute"]:
-            await asyncio.sleep(NEVER_S)
+    def prepare(self) -> None:
+        if self.worker.switches["reset"]:
+            self.detach().close()
+            return
         expected = self.request.headers.get("Expect-Instance")
         if expected is not None and expected != self.worker.id:
             self.set_status(421)
@@ -227,17 +232,33 @@
 
 
 async def check_in(worker: Worker, control: str, body: dict[str, Any]) -> None:
-    """Check in with the agent, again and again."""
+    """Check in with the agent, again and again, until the worker leaves."""
     client = AsyncHTTPClient()
     url = f"http://{control}/instances/{worker.id}"
+    leaves_s = float("inf")
     for number in range(1, sys.maxsize):
         body |= {"seq": number, "born": worker.born, "clock_ms": worker.clock_ms}
+        if worker.switches["drain"]:
+            left_s = min(max(leaves_s - time.monotonic(), 0.0), DRAIN_S)
+            body |= {"state": "draining", "remaining_ms": int(left_s * 1000)}
         request = HTTPRequest(url, "PUT", body=json.dumps(body), request_timeout=1.0)
         acked = False
         with suppress(OSError, HTTPClientError):
             answer = await client.fetch(request, raise_error=False)
             acked = answer.code == 200
-        await asyncio.sleep(HEARTBEAT_S if acked else 0.2)
+        if acked and body["state"] == "draining":
+            leaves_s = min(leaves_s, time.monotonic() + DRAIN_S + 0.3)
+        if time.monotonic() > leaves_s:
+            break
+        worker.switched.clear()
+        with suppress(TimeoutError):
+            delay_s = HEARTBEAT_S if acked else 0.2
+            delay_s = min(delay_s, max(leaves_s - time.monotonic(), 0.0) + 0.01)
+            await asyncio.wait_for(worker.switched.wait(), delay_s)
+    with suppress(OSError, HTTPClientError):
+        await client.fetch(HTTPRequest(url, "DELETE"), raise_error=False)
+    tell("left", id=worker.id)
+    os._exit(0)
 
 
 async def read_switches(worker: Worker) -> None:
@@ -245,6 +266,7 @@
     loop = asyncio.get_running_loop()
     while line := await loop.run_in_executor(None, sys.stdin.readline):
         worker.switches.update(json.loads(line))
+        worker.switched.set()
 
 
 async def serve(args: argparse.Namespace) -> None:
@@ -271,7 +293,7 @@
         "capacity": {"cpu": 64000, "mem_mb": 262144, "gpu": 8},
         "labels": ["a", args.rack],
     }
-    tell("up", id=worker.id)
+    tell("up", id=worker.id, born=worker.born)
     await asyncio.gather(
         worker.work(), check_in(worker, args.control, body), read_switches(worker)
     )
