--- a/review/harness/cluster.py
+++ b/review/harness/cluster.py
@@ -86,7 +86,7 @@
         self._ports = dict(
             zip(
                 ("front", "ready", "control", "app", "wire", "link"),
-                random.sample(range(12_000, 30_000), 6),
+                free_ports(f"{self._network}.1", 6),
                 strict=True,
             )
         )
@@ -385,6 +385,14 @@
             return port
 
 
+def free_ports(host: str, count: int) -> list[int]:
+    """Return different ports of an address that are free now."""
+    found: set[int] = set()
+    while len(found) < count:
+        found.add(free_port(host))
+    return sorted(found)
+
+
 def request(
     address: str,
     method: str,
