--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -131,6 +131,13 @@
         self.news.set()
         self.news = asyncio.Event()
 
+    def acknowledge(self, upto: int) -> None:
+        """Forget the ends up to a number."""
+        for number, task, run, how, _saved in self.ended:
+            if number <= upto:
+                tell("taken note of", task=task, run=run, how=how)
+        self.ended = [row for row in self.ended if row[0] > upto]
+
     def lists(self) -> dict[str, Any]:
         """Return both lists; what is empty is left out."""
         now_s = time.monotonic()
@@ -211,8 +218,7 @@
     async def post(self) -> None:
         worker = self.worker
         worker.extend(self.call)
-        acked = self.call.get("acked_upto", 0)
-        worker.ended = [row for row in worker.ended if row[0] > acked]
+        worker.acknowledge(self.call.get("acked_upto", 0))
         wait_s = self.call.get("wait_ms", 0) / 1000
         if not worker.ended and wait_s:
             with suppress(TimeoutError):
