--- a/review/harness/cluster.py
+++ b/review/harness/cluster.py
@@ -32,6 +32,8 @@
 KEY = "key-of-warehouse"
 SERVICE = "huvo11a"
 READY_TIMEOUT_S = 25.0
+TIME_LIMIT_S = 110
+"""A case that runs for longer could not run; 120 s are allowed."""
 RESTART_S = 2.0
 """A worker that has crashed, or left, is back after this long."""
 BOUNDS = {
@@ -205,16 +207,18 @@
     ) -> None:
         paths = ["target/deps", *more_paths]
         kept = {one: os.environ[one] for one in ("PATH", "HOME") if one in os.environ}
-        process = subprocess.Popen(
-            [sys.executable, *args],
-            cwd=ROOT,
-            env={**kept, "PYTHONPATH": os.pathsep.join(paths), **env},
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            text=True,
-        )
         with self._lock:
+            if self._closing:
+                return
+            process = subprocess.Popen(
+                [sys.executable, *args],
+                cwd=ROOT,
+                env={**kept, "PYTHONPATH": os.pathsep.join(paths), **env},
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                text=True,
+            )
             self._processes[name] = process
         threading.Thread(target=self._follow, args=(name, process), daemon=True).start()
 
@@ -427,6 +431,9 @@
         or '' where it held.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _interrupt)
+    signal.alarm(TIME_LIMIT_S)
     try:
         with Cluster(folder) as cluster:
             broken = case(cluster, has_trouble)
@@ -438,4 +445,9 @@
     return 1 if broken else 0
 
 
+def _interrupt(number: int, _frame: object) -> None:
+    """End the case as one that could not run, with all of its processes."""
+    raise RuntimeError(f"interrupted by {signal.Signals(number).name}")
+
+
 __all__ = ["BOUNDS", "Cluster", "config", "run_case"]
