Log what the expiry of leases is counted from, and doubt at a loss of the planner

`leases_expired` has the ages of the term, contact, grant, report and listing, one line for each upstream; `planner_lost` and `planner_found` have what is left of the leases and the longest doubt. No logic changes.

--- a/src/hyssoprill/cli/trace.py
+++ b/src/hyssoprill/cli/trace.py
@@ -29,7 +29,13 @@
     }
 )
 UPSTREAM_EVENTS = frozenset(
-    {"upstream_found", "upstream_ended", "upstream_gone", "runs_settled"}
+    {
+        "upstream_found",
+        "upstream_ended",
+        "upstream_gone",
+        "runs_settled",
+        "leases_expired",
+    }
 )
 CAUSAL_ORDER = (
     "call_refused",
--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -71,6 +71,9 @@
             reason = self.fleet.end_reason(key) if runs else ""
             if not reason:
                 continue
+            if reason == "lapsed":
+                evidence = self.fleet.lease_evidence(key)
+                decision("leases_expired", upstream=key, runs=len(runs), **evidence)
             crashes = find_crashes(self.fleet.find(key), runs)
             unsettled = self.fleet.unsettled_runs(key)
             for task, run in runs.items():
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -191,6 +191,24 @@
         ended = vm.ended_upstreams if vm is not None else ()
         return [one for one in ended if name.restarts(parse_upstream_key(one))]
 
+    def lease_evidence(self, key: str) -> dict[str, float | bool | None]:
+        """Return what the expiry of an upstream's leases is counted from, for the log.
+
+        Times are ages in seconds, None for what has not happened in this term.
+        """
+        vm = self.vms.get(key.partition("|")[0])
+        report = vm.upstreams.get(key) if vm is not None else None
+        return {
+            "expired_s": _age_s(self._lease_expiry_s(key, vm)),
+            "term_s": _age_s(self.term_began_s),
+            "contact_s": _age_s(vm.last_contact_s) if vm is not None else None,
+            "grant_s": _age_s(vm.last_grant_s) if vm is not None else None,
+            "report_s": _age_s(vm.last_report_s) if vm is not None else None,
+            "listed_s": _age_s(self._last_listed_s.get(key, float("-inf"))),
+            "in_report": report is not None,
+            "uncertainty_s": report.lease_uncertainty_s if report is not None else None,
+        }
+
     def _lease_expiry_s(self, key: str, vm: VmState | None) -> float:
         """Return the planner's time after which no lease of an upstream can be valid.
 
@@ -211,6 +229,11 @@
         return expiry_s
 
 
+def _age_s(since_s: float) -> float | None:
+    """Return for how long a time has passed; None for a time that never was."""
+    return round(boottime_s() - since_s, 3) if since_s > float("-inf") else None
+
+
 def _is_long_silent(vm: VmState) -> bool:
     """Tell whether a VM has been silent for so long that no unsettled run is left."""
     return boottime_s() - vm.last_contact_s > UNSETTLED_EXPIRY_S
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -172,6 +172,11 @@
         """Whether the incarnation has answered with a listing."""
         return self._listing is not None
 
+    @property
+    def in_doubt_s(self) -> float:
+        """Seconds for which unanswered calls may still keep the lease alive."""
+        return self._lease_tracker.in_doubt_s
+
     # Orders
 
     def apply_orders(self, orders: UpstreamOrders) -> None:
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -265,7 +265,12 @@
         self._planner_heard_s = boottime_s()
         if self._planner == sender and not self._searching:
             return
-        decision("planner_found", planner=sender, term=self._grant.term)
+        decision(
+            "planner_found",
+            planner=sender,
+            term=self._grant.term,
+            in_doubt_s=self._max_in_doubt_s(),
+        )
         self._planner = sender
         self._searching = False
         self._ended_term = 0
@@ -283,13 +288,24 @@
     def _search_planner(self) -> None:
         """Connect to all entries to find out which one plans."""
         if not self._searching:
-            decision("planner_lost", planner=self._planner, term=self._grant.term)
+            decision(
+                "planner_lost",
+                planner=self._planner,
+                term=self._grant.term,
+                lease_left_s=round(self._grant.lease_left_s, 3),
+                in_doubt_s=self._max_in_doubt_s(),
+            )
             self._quick_searches = 0
         self._searching = True
         self._planner = ""
         for name, url in self._entries.link_urls.items():
             self._hub.dial(name, url)
 
+    def _max_in_doubt_s(self) -> float:
+        """Return for how long unanswered calls may keep a lease alive, for the log."""
+        in_doubt_s = (one.in_doubt_s for one in self._sessions.values())
+        return round(max(in_doubt_s, default=0.0), 3)
+
     async def _report_loop(self) -> None:
         """Report each change at once, and send heartbeats between changes."""
         while True:
