Count grants towards the leases of upstreams that the newest report does not list

Whether this was the cause there is not shown.

Cause: a grant belongs to the VM, and its agent applies it to every upstream, those included that it reports only afterwards. The planner counted it only for upstreams in the newest report, and for any other from the beginning of its term or from the report that first left it out. An agent that restarts, reports before its upstream has checked in and is then cut off, or whose report is lost and whose heartbeat is granted, extended leases for up to 9.2 s after a grant that the planner ignored. A doubt that was reported earlier was dropped in the same way.

Fix: the expiry of each upstream's leases is kept as a time that only grows, and grants count for all upstreams of a VM, unless a message of the VM, sent after the earlier leases have expired, confirms that the upstream is not listed.

Evidence: test_upstream_that_is_not_listed_keeps_leases_granted_to_its_vm and test_upstream_of_a_vm_whose_report_is_lost_does_not_lapse_while_grants_go_on failed before; the third test guards against runs that would then never be closed.

--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -45,6 +45,8 @@
         The planner's clock at the newest message.
     last_report_s : float
         The planner's clock at the newest report.
+    confirmed_s : float
+        The planner's clock at the newest message that names the newest report.
     last_grant_s : float
         The planner's clock when it last allowed the agent to extend leases.
     upstreams : dict
@@ -59,6 +61,7 @@
     agent_clock_s: float = 0.0
     last_contact_s: float = float("-inf")
     last_report_s: float = float("-inf")
+    confirmed_s: float = float("-inf")
     last_grant_s: float = float("-inf")
     upstreams: dict[str, UpstreamReport] = field(default_factory=dict)
     ended_upstreams: frozenset[str] = frozenset()
@@ -71,7 +74,7 @@
     def __init__(self) -> None:
         self.vms: dict[str, VmState] = {}
         self.term_began_s = boottime_s()
-        self._last_listed_s: dict[str, float] = {}
+        self._lease_expires_s: dict[str, float] = {}
         self._first_report_s = float("inf")
         self._last_new_vm_s = float("inf")
         self._reported_vms: set[str] = set()
@@ -93,7 +96,7 @@
     def reset(self) -> None:
         """Drop all reports, at the start of a term."""
         self.vms.clear()
-        self._last_listed_s.clear()
+        self._lease_expires_s.clear()
         self.term_began_s = boottime_s()
         self._first_report_s = float("inf")
         self._last_new_vm_s = float("inf")
@@ -107,18 +110,35 @@
             self._reported_vms.add(report.vm)
             self._last_new_vm_s = boottime_s()
         vm.report_number = report.number
-        vm.last_report_s = vm.last_contact_s
-        self._last_listed_s.update(dict.fromkeys(vm.upstreams, vm.last_contact_s))
+        vm.last_report_s = vm.confirmed_s = vm.last_contact_s
+        for key in vm.upstreams:
+            self._extend_lease(key, LEASE_EXPIRY_S)
+        for one in report.upstreams:
+            if one.lease_uncertainty_s:
+                in_doubt_s = one.lease_uncertainty_s * (1 + MAX_CLOCK_DRIFT)
+                self._extend_lease(one.key, in_doubt_s + LEASE_EXPIRY_MARGIN_S)
         vm.upstreams = {one.key: one for one in report.upstreams}
         vm.ended_upstreams = frozenset(report.ended_keys)
         vm.last_reports = {one.key: one for one in report.last_reports}
         return vm
 
-    def record_contact(self, name: str, agent_clock_s: float) -> VmState:
-        """Record a message from a VM and return the VM's state."""
+    def _extend_lease(self, key: str, duration_s: float) -> None:
+        expires_s = boottime_s() + duration_s
+        known_s = self._lease_expires_s.get(key, expires_s)
+        self._lease_expires_s[key] = max(known_s, expires_s)
+
+    def record_contact(
+        self, name: str, agent_clock_s: float, report_number: int = 0
+    ) -> VmState:
+        """Record a message from a VM and return the VM's state.
+
+        `report_number` is the number of its newest report, or 0 if it does not say.
+        """
         vm = self.vms.setdefault(name, VmState())
         vm.last_contact_s = boottime_s()
         vm.agent_clock_s = agent_clock_s
+        if report_number and report_number == vm.report_number:
+            vm.confirmed_s = vm.last_contact_s
         return vm
 
     def is_responsive(self, name: str) -> bool:
@@ -204,7 +224,7 @@
             "contact_s": _age_s(vm.last_contact_s) if vm is not None else None,
             "grant_s": _age_s(vm.last_grant_s) if vm is not None else None,
             "report_s": _age_s(vm.last_report_s) if vm is not None else None,
-            "listed_s": _age_s(self._last_listed_s.get(key, float("-inf"))),
+            "confirmed_s": _age_s(vm.confirmed_s) if vm is not None else None,
             "in_report": report is not None,
             "uncertainty_s": report.lease_uncertainty_s if report is not None else None,
         }
@@ -212,21 +232,15 @@
     def _lease_expiry_s(self, key: str, vm: VmState | None) -> float:
         """Return the planner's time after which no lease of an upstream can be valid.
 
-        It is later while a call to the upstream is in doubt, as such a call may extend
-        the lease after the report.
+        A VM applies its grants to all of its upstreams, those included that it lists
+        only after them. One that is still not listed once earlier leases have expired
+        holds no lease.
         """
-        last_s = self._last_listed_s.get(key, self.term_began_s)
-        report = vm.upstreams.get(key) if vm is not None else None
-        if vm is None or report is None:
-            return last_s + LEASE_EXPIRY_S
-        expiry_s = max(last_s, vm.last_grant_s) + LEASE_EXPIRY_S
-        if report.lease_uncertainty_s:
-            uncertainty_s = (
-                report.lease_uncertainty_s * (1 + MAX_CLOCK_DRIFT)
-                + LEASE_EXPIRY_MARGIN_S
-            )
-            expiry_s = max(expiry_s, vm.last_report_s + uncertainty_s)
-        return expiry_s
+        expiry_s = self.term_began_s + LEASE_EXPIRY_S
+        expiry_s = max(expiry_s, self._lease_expires_s.get(key, expiry_s))
+        if vm is None or (key not in vm.upstreams and vm.confirmed_s >= expiry_s):
+            return expiry_s
+        return max(expiry_s, vm.last_grant_s + LEASE_EXPIRY_S)
 
 
 def _age_s(since_s: float) -> float | None:
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -120,7 +120,7 @@
         """Grant renewals for an unchanged report, and resend orders that were lost."""
         if not self._update_term():
             return
-        vm = self._fleet.record_contact(message.vm, message.clock_s)
+        vm = self._fleet.record_contact(message.vm, message.clock_s, message.number)
         is_report_known = vm.report_number == message.number
         self._grant(message.vm, message.number if is_report_known else 0)
         if is_report_known:
--- a/tests/coordination/planner/test_fleet.py
+++ b/tests/coordination/planner/test_fleet.py
@@ -106,3 +106,32 @@
     fleet = Fleet()
     clock.now_s += 10.0
     assert not fleet.is_settled(set)
+
+
+def test_upstream_that_is_not_listed_keeps_leases_granted_to_its_vm(clock):
+    # A lease that was granted after the newest report may be in force.
+    fleet = Fleet()
+    clock.now_s += 5.0
+    report(fleet)
+    clock.now_s += LEASE_EXPIRY_S - 0.1
+    assert fleet.end_reason(KEY) == ""
+    clock.now_s += 0.2
+    assert fleet.end_reason(KEY) == "lapsed"
+
+
+def test_upstream_that_its_vm_no_longer_lists_lapses_while_grants_go_on(clock):
+    fleet = Fleet()
+    report(fleet, KEY)
+    for _ in range(12):
+        clock.now_s += 1.0
+        report(fleet)
+    assert fleet.end_reason(KEY) == "lapsed"
+
+
+def test_upstream_of_a_vm_whose_report_is_lost_does_not_lapse_while_grants_go_on(clock):
+    fleet = Fleet()
+    for _ in range(12):
+        clock.now_s += 1.0
+        vm = fleet.record_contact("vm-1", 1.0)
+        vm.last_grant_s = clock.now_s
+    assert fleet.end_reason(KEY) == ""
