Extend leases with orders only as far as with the newest grant

Cause: `VmOrders` names the agent's clock, and the agent extends its leases from it as from a `Grant`. The planner sent the clock of the newest message whether or not it might grant. An entry that is cut off from the store, and has been succeeded, still publishes changed orders and repeats lost ones to the agents in its partition, so that their leases go on while the next planner counts from its own beginning. The entry that may not grant for some seconds also extended leases that it did not count itself.

Fix: one place records a grant (`Fleet.record_grant`); orders carry the clock that it recorded, and no VM gets orders before its first grant in a term.

Evidence: test_orders_extend_no_lease_when_the_planner_may_not_grant failed before: the orders named the clock 50 s after the last grant.

--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -49,6 +49,8 @@
         The planner's clock at the newest message that names the newest report.
     last_grant_s : float
         The planner's clock when it last allowed the agent to extend leases.
+    granted_clock_s : float or None
+        The agent's clock from which it may extend them, None before the first grant.
     upstreams : dict
         Newest reports of the upstreams, by key.
     ended_upstreams : frozenset of str
@@ -63,6 +65,7 @@
     last_report_s: float = float("-inf")
     confirmed_s: float = float("-inf")
     last_grant_s: float = float("-inf")
+    granted_clock_s: float | None = None
     upstreams: dict[str, UpstreamReport] = field(default_factory=dict)
     ended_upstreams: frozenset[str] = frozenset()
     last_reports: dict[str, UpstreamReport] = field(default_factory=dict)
@@ -122,6 +125,17 @@
         vm.last_reports = {one.key: one for one in report.last_reports}
         return vm
 
+    def record_grant(self, name: str) -> float:
+        """Record that a VM may extend leases from its newest message; return its clock.
+
+        Any message that extends leases has to carry a clock recorded here, as others
+        are not counted.
+        """
+        vm = self.vms[name]
+        vm.last_grant_s = boottime_s()
+        vm.granted_clock_s = vm.agent_clock_s
+        return vm.granted_clock_s
+
     def _extend_lease(self, key: str, duration_s: float) -> None:
         expires_s = boottime_s() + duration_s
         known_s = self._lease_expires_s.get(key, expires_s)
--- a/src/hyssoprill/coordination/planner/orders.py
+++ b/src/hyssoprill/coordination/planner/orders.py
@@ -68,9 +68,12 @@
             self._send_to(name, sent[0][0], sent[1])
 
     def _send_to(self, name: str, term: int, orders: list[UpstreamOrders]) -> None:
+        """Send orders, which extend leases as far as the newest grant does."""
+        echo_s = self._fleet.vms[name].granted_clock_s
+        if echo_s is None:
+            return
         self._last_number += 1
         self._sent[name] = ((term, self._last_number), orders)
-        echo_s = self._fleet.vms[name].agent_clock_s
         self._send(name, VmOrders(term, self._last_number, echo_s, orders))
 
     def _orders(self, key: str) -> UpstreamOrders:
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -135,9 +135,8 @@
         """
         if not self._election.may_grant:
             return
-        vm = self._fleet.vms[name]
-        vm.last_grant_s = boottime_s()
-        self._send(name, Grant(self._term, vm.agent_clock_s, known_report))
+        echo_s = self._fleet.record_grant(name)
+        self._send(name, Grant(self._term, echo_s, known_report))
 
     def _update_term(self) -> bool:
         """Adopt the current term; return whether this entry is the planner."""
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -109,6 +109,7 @@
         self.key = f"{vm}|10.0.0.1:80|100|i-{vm}"
         self.rack = rack
         self.capacity = CAPACITY
+        self.clock_s = 1.0
         self.number = 1
         self.ended: list[EndReport] = []
         self.closed: list[tuple[str, int]] = []
@@ -138,7 +139,7 @@
         self.entry.planner.handle_report(
             VmReport(
                 self.vm,
-                1.0,
+                self.clock_s,
                 self.number,
                 upstreams,
                 list(self.ended_keys),
@@ -160,7 +161,7 @@
         self.number += 1
         last = [self.upstream_report()]
         self.entry.planner.handle_report(
-            VmReport(self.vm, 1.0, self.number, [], [self.key], last)
+            VmReport(self.vm, self.clock_s, self.number, [], [self.key], last)
         )
 
     def crash(self, *unlisted: tuple[str, int, bool]) -> None:
@@ -175,12 +176,14 @@
         self.number += 1
         upstreams = [self.upstream_report()]
         self.entry.planner.handle_report(
-            VmReport(self.vm, 1.0, self.number, upstreams, self.ended_keys, [before])
+            VmReport(
+                self.vm, self.clock_s, self.number, upstreams, self.ended_keys, [before]
+            )
         )
 
-    def heartbeat(self) -> None:
+    def heartbeat(self, applied: tuple[int, int] = (99, 99)) -> None:
         self.entry.planner.handle_heartbeat(
-            VmHeartbeat(self.vm, 1.0, self.number, 99, 99)
+            VmHeartbeat(self.vm, self.clock_s, self.number, *applied)
         )
 
     def end(self, task: str, run: int, how: str, saved: str = "") -> None:
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -454,6 +454,28 @@
     run_scenario(scenario)
 
 
+def test_orders_extend_no_lease_when_the_planner_may_not_grant(
+    run_scenario, make_agent
+):
+    async def scenario(harness):
+        entry, (agent,) = await start_planner(harness, make_agent, "vm-1")
+        await harness.submit(NAME, Step(need=ONE, estimate_ms=60_000))
+        await harness.wait_until(entry.ordered_runs)
+        harness.store.down = True
+        await harness.wait_until(lambda: not entry.election.may_grant, timeout_s=3.0)
+        entry.sent.clear()
+        agent.clock_s += 50.0
+        agent.heartbeat(applied=(0, 0))
+        agent.draining = True
+        agent.key += "0"
+        agent.report()
+        await harness.wait_until(lambda: len(entry.sent) > 1)
+        echoed_s = {message.echoed_clock_s for _vm, message in entry.sent}
+        assert echoed_s == {agent.clock_s - 50.0}
+
+    run_scenario(scenario)
+
+
 LONG_RUNNING = Step(
     count=2, need=WHOLE, estimate_ms=1000, long_running=True, may_miss=1, target_ms=200
 )
