Grant nothing more once a successor may begin its term

Cause: the next planner counts the expiry of unreported leases from its own beginning, so no other entry may grant after that. Only a claim after silence waits for the grants of its predecessor to end. A term that is resigned or handed over is claimed at once, while the old planner still waited for the answer to that record and went on granting for up to 1.1 s after its last stored one; a hand-over that the store carries out seconds late vacated a term that was being renewed.

Fix: a planner grants nothing from before it sends its resignation or hand-over, and a handed-over term is claimed only where the planner has stored nothing for as long as a hand-over presumes.

--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -96,7 +96,9 @@
     @property
     def may_grant(self) -> bool:
         """Whether leases may be granted: no other entry can have claimed the term."""
-        return self._term > 0 and boottime_s() - self._last_stored_s < GRANT_WINDOW_S
+        if self.resigning or not self._term:
+            return False
+        return boottime_s() - self._last_stored_s < GRANT_WINDOW_S
 
     async def run(self) -> None:
         """Claim the term when there is no planner, and renew it; forever."""
@@ -173,6 +175,8 @@
         ):
             return
         self._tried_in_outage_s = outage_s
+        # The record may be stored without an answer, and another entry claims then.
+        self._last_stored_s = float("-inf")
         record = Record(VACATED_KEY, msgspec.json.encode(self._term))
         try:
             async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
@@ -201,11 +205,15 @@
         if self.resigning or replica.end is None or replica.age_s > CLAIM_AFTER_S:
             return False
         current = replica.job_table.term
-        if current is None or replica.job_table.is_term_vacant:
+        if current is None or current.resigned:
+            return True
+        silent_s = boottime_s() - replica.planner_last_seen_s
+        if replica.job_table.is_term_vacant and silent_s > HAND_OVER_AFTER_S:
+            # An earlier record would mean that the hand-over was stored late.
             return True
         if current.planner == self._name and current.incarnation != self._incarnation:
             return True
-        return boottime_s() - replica.planner_last_seen_s > CLAIM_AFTER_S
+        return silent_s > CLAIM_AFTER_S
 
     async def _claim(self) -> None:
         """Claim the next term, if nothing was stored since the replica's last read.
--- a/tests/coordination/planner/test_election.py
+++ b/tests/coordination/planner/test_election.py
@@ -173,3 +173,61 @@
         assert [one.election.term for one in (first, second, third)] == [0, 2, 0]
 
     run_scenario(scenario)
+
+
+def record_overlaps(first, second) -> list[int]:
+    """Record each term that the second entry holds while the first may grant."""
+    overlaps: list[int] = []
+
+    def check() -> None:
+        if second.election.term and first.election.may_grant:
+            overlaps.append(second.election.term)
+        asyncio.get_running_loop().call_later(0.005, check)
+
+    check()
+    return overlaps
+
+
+def test_planner_grants_no_more_when_its_resignation_is_answered_late(run_scenario):
+    async def scenario(harness):
+        first, link, second = await start_with_a_peer(harness)
+        append = link.append
+
+        async def append_and_answer_late(*args, **fields):
+            offset = await append(*args, **fields)
+            await asyncio.sleep(election.GRANT_WINDOW_S / 2)
+            return offset
+
+        overlaps = record_overlaps(first, second)
+        link.append = append_and_answer_late
+        await first.election.resign()
+        assert second.election.term == 2
+        assert overlaps == []
+
+    run_scenario(scenario)
+
+
+def test_planner_grants_no_more_when_its_hand_over_is_not_answered(run_scenario):
+    async def scenario(harness):
+        async def append_without_an_answer(records):
+            await harness.store.append("jobs", records)
+            await asyncio.Event().wait()
+
+        first, link, second = await start_with_a_peer(harness)
+        first.election._append_through_peer = append_without_an_answer
+        overlaps = record_overlaps(first, second)
+        link.down = True
+        await harness.wait_until(lambda: second.election.term == 2)
+        assert overlaps == []
+
+    run_scenario(scenario)
+
+
+def test_late_hand_over_does_not_vacate_a_term_that_is_being_renewed(run_scenario):
+    async def scenario(harness):
+        first, _link, second = await start_with_a_peer(harness)
+        await harness.store.append("jobs", [Record(VACATED_KEY, b"1")])
+        await asyncio.sleep(3 * election.RENEW_INTERVAL_S)
+        assert (first.election.term, second.election.term) == (1, 0)
+
+    run_scenario(scenario)
