Count all records of a planner as signs of it

Cause: a planner may grant for 1.1 s after any record that it has stored, but other entries counted only its renewals and steps as signs of it. One that stores sizes or deletions in place of a renewal may grant for up to 0.4 s longer than they count.

Fix: sizes and deletions, which only a planner stores, count as well.

Evidence: test_term_is_not_claimed_while_its_planner_stores_other_records failed before.

--- a/src/hyssoprill/coordination/planner/replica.py
+++ b/src/hyssoprill/coordination/planner/replica.py
@@ -8,7 +8,7 @@
 from ...clock import boottime_s
 from ...errors import StoreError, StoreHistoryLostError
 from ...logs import decision
-from ...state.job_table import PLANNER_KEY, STEP_PREFIX, JobTable
+from ...state.job_table import PLANNER_KEY, SIZES_KEY, STEP_PREFIX, JobTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -108,7 +108,7 @@
     def _apply(self, records: Iterable[StoredRecord]) -> bool:
         changed = False
         for record in records:
-            if record.key == PLANNER_KEY or record.key.startswith(STEP_PREFIX):
+            if _is_of_planner(record):
                 self.planner_last_seen_s = boottime_s()
             changed |= self.job_table.apply(record.offset, record.key, record.value)
         return changed
@@ -130,4 +130,10 @@
             self.failing_since_s = boottime_s()
 
 
+def _is_of_planner(record: StoredRecord) -> bool:
+    """Tell whether only a planner stores such a record; it alone deletes records."""
+    is_own = record.key in (PLANNER_KEY, SIZES_KEY)
+    return is_own or record.key.startswith(STEP_PREFIX) or not record.value
+
+
 __all__ = ["Replica"]
--- a/tests/coordination/planner/test_election.py
+++ b/tests/coordination/planner/test_election.py
@@ -6,7 +6,7 @@
 
 from hyssoprill.coordination.planner import election
 from hyssoprill.ports.store import Record, Writer
-from hyssoprill.state.job_table import VACATED_KEY
+from hyssoprill.state.job_table import SIZES_KEY, VACATED_KEY
 
 
 def test_exactly_one_of_several_entries_is_elected(run_scenario):
@@ -231,3 +231,16 @@
         assert (first.election.term, second.election.term) == (1, 0)
 
     run_scenario(scenario)
+
+
+def test_term_is_not_claimed_while_its_planner_stores_other_records(run_scenario):
+    async def scenario(harness):
+        first, _link, second = await start_with_a_peer(harness)
+        renewal_s = 2 * election.CLAIM_AFTER_S
+        first.election._renew = lambda: asyncio.sleep(renewal_s)
+        for _ in range(int(renewal_s / election.RENEW_INTERVAL_S)):
+            await first.election.append([Record(SIZES_KEY, b"{}")])
+            await asyncio.sleep(election.RENEW_INTERVAL_S)
+        assert (first.election.term, second.election.term) == (1, 0)
+
+    run_scenario(scenario)
