Send and log one stop for a run while it ends

Cause: a stop takes up to 0.4 s, and each listing and each order that came meanwhile stopped the run again.

Fix: a run that is listed is stopped again only where the listing was requested a second after the upstream had confirmed its stop.

Evidence: test_stop_is_sent_once_while_the_run_ends failed before.

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -208,8 +208,13 @@
         for row in self._listing.running:
             key = run_key(row)
             if key not in known and key not in self._calls:
-                decision("run_stopped", task=row.task, run=row.run, why="not ordered")
-                self._call(key, "stop", self._stop)
+                self._stop_listed(key, "not ordered")
+
+    def _stop_listed(self, key: RunKey, why: str) -> None:
+        """Stop a listed run, unless an earlier stop is about to end it."""
+        if not self.stop_calls.is_ending(key, self._listing_sent_s):
+            decision("run_stopped", task=key[0], run=key[1], why=why)
+            self._call(key, "stop", self._stop)
 
     def _call(
         self,
--- a/src/hyssoprill/coordination/upstream/stop_calls.py
+++ b/src/hyssoprill/coordination/upstream/stop_calls.py
@@ -13,6 +13,10 @@
     from .progress import RunKey
 
 
+STOP_EFFECT_S = 1.0
+"""A run that is listed this long after its stop was confirmed is stopped again."""
+
+
 class StopCalls:
     """Remembers which stops an upstream has confirmed.
 
@@ -34,6 +38,7 @@
         self.closed: set[RunKey] = set()
         self.settled: set[RunKey] = set()
         self._confirmed_s: dict[RunKey, float] = {}
+        self._ending_s: dict[RunKey, float] = {}
 
     @property
     def are_inherited_settled(self) -> bool:
@@ -53,7 +58,17 @@
 
     def record_confirmed(self, key: RunKey) -> None:
         """Record that the upstream has confirmed a stop."""
-        self._confirmed_s[key] = boottime_s()
+        self._confirmed_s[key] = self._ending_s[key] = boottime_s()
+
+    def is_ending(self, key: RunKey, listed_s: float) -> bool:
+        """Return whether a listing of that time may still name a run that was stopped.
+
+        Parameters
+        ----------
+        listed_s : float
+            When the listing was requested.
+        """
+        return listed_s < self._ending_s.get(key, float("-inf")) + STOP_EFFECT_S
 
     def apply_listing(self, listing: RunListing, sent_s: float) -> set[RunKey]:
         """Apply a listing requested at `sent_s`; return the runs closed by it."""
@@ -62,6 +77,8 @@
             for key, confirmed_s in self._confirmed_s.items()
             if confirmed_s < sent_s and key not in listing.runs
         }
+        for key in self._ending_s.keys() - listing.runs:
+            del self._ending_s[key]
         newly_closed = closed - self.closed
         self.closed |= closed
         ended = {(row.task, row.run) for row in listing.ended}
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -71,6 +71,8 @@
         Whether stops are executed and answered.
     stopped : set of tuple
         Runs that were stopped; they never start later.
+    ends_slowly : bool
+        Whether runs stay listed after their stop.
     leases : list of int or None
         Expiry that each renewal requested.
     """
@@ -84,6 +86,7 @@
         self.pending_starts: list[tuple[str, int]] = []
         self.answers_stops = True
         self.stopped: set[tuple[str, int]] = set()
+        self.ends_slowly = False
         self.ended: list[EndReport] = []
         self.answers_renewals = True
         self.is_reachable = True
@@ -112,7 +115,8 @@
         if not self.answers_stops:
             raise UpstreamSilentError("no answer")
         self.stopped.add((task, run))
-        self.running.pop((task, run), None)
+        if not self.ends_slowly:
+            self.running.pop((task, run), None)
         if (task, run) in self.pending_starts:
             self.pending_starts.remove((task, run))
         return True
@@ -289,6 +293,22 @@
     run_scenario(scenario)
 
 
+def test_stop_is_sent_once_while_the_run_ends():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await harness.wait_until(lambda: harness.upstream.running)
+        harness.upstream.ends_slowly = True
+        for number in range(2, 6):
+            await entry.order(number)
+            await asyncio.sleep(0.1)
+        stop = ("stop", TASK, 1, 1)
+        assert harness.upstream.calls.count(stop) == 1
+        await harness.wait_until(lambda: harness.upstream.calls.count(stop) > 1)
+
+    run_scenario(scenario)
+
+
 def test_run_that_never_started_is_reported_closed_after_its_stop():
     async def scenario(harness, agent):
         entry = await start_with_upstream(harness, agent)
