Stop runs when their agent's grant ends

Cause: leases expire with the grant, so that the planner may count on their end, but a renewal without an answer may be executed up to 12 s later, and its time then counts from its arrival. Once the agent has lost the planner, it alone knows of such a renewal, and it did nothing about it. Class: a doubt that only one side knows of, while the other acts on its absence. The same holds for a start without an answer.

Fix: an agent stops all listed runs when its grant ends, and withdraws starts without an answer; a stop that was confirmed makes late calls harmless. Where such a call is known, it stops early enough that a stop can be repeated. A new process of the agent takes the grants of the one before as lasting from its own beginning.

Evidence: test_run_ends_with_its_grant_when_a_late_renewal_may_extend_its_lease, test_run_is_not_stopped_before_its_grant_ends_when_all_renewals_were_answered and test_start_without_an_answer_is_withdrawn_when_its_grant_ends failed before: the runs were not stopped. What it does not cover: an agent that is frozen or killed then, and stops that get no answer either.

--- a/src/hyssoprill/coordination/upstream/planner_grant.py
+++ b/src/hyssoprill/coordination/upstream/planner_grant.py
@@ -69,6 +69,14 @@
         """Seconds from now until which leases may extend."""
         return self.echoed_clock_s + GRANT_TTL_S - boottime_s()
 
+    @property
+    def runs_left_s(self) -> float:
+        """Seconds from now until all runs must have ended, unless a grant arrives.
+
+        An earlier process of the agent may have had grants until this one began.
+        """
+        return max(self.echoed_clock_s, self.began_s) + GRANT_TTL_S - boottime_s()
+
     @property
     def may_start(self) -> bool:
         """Whether the grant is recent enough to start runs."""
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -40,6 +40,8 @@
 CALL_TIMEOUT_S = 1.0
 """Timeout of starts and stops, which upstreams answer within milliseconds."""
 RETRY_DELAY_S = 0.15
+STOP_LEAD_S = CALL_TIMEOUT_S + RETRY_DELAY_S
+"""Time for a stop without an answer before it is repeated."""
 MIN_RENEW_INTERVAL_S = 0.05
 """Shortest pause between renewals.
 
@@ -216,6 +218,34 @@
             decision("run_stopped", task=key[0], run=key[1], why=why)
             self._call(key, "stop", self._stop)
 
+    @property
+    def stop_lead_s(self) -> float:
+        """How long before the end of the grant the runs are stopped, in seconds."""
+        left_s = max(self._grant.runs_left_s, 0.0)
+        return STOP_LEAD_S if self.in_doubt_s > left_s else 0.0
+
+    def stop_with_grant(self) -> None:
+        """Stop all runs when the grant ends.
+
+        Leases expire with it, unless an unanswered call extends them late.
+        """
+        if self._grant.runs_left_s > self.stop_lead_s:
+            return
+        rows = self._listing.running if self._listing is not None else ()
+        listed = {run_key(row) for row in rows}
+        for key in sorted(listed):
+            if self._calls.get(key, ("",))[0] != "stop":
+                self._stop_listed(key, "the grant ends")
+        in_doubt = self.start_calls.in_doubt | self.start_calls.unlisted
+        in_doubt &= self._ordered_runs.keys()
+        for key in sorted(in_doubt - listed - self._refused.keys()):
+            self._call(key, "stop", self._withdraw)
+
+    async def _withdraw(self, key: RunKey) -> None:
+        """Report an ordered run as refused once it can no longer start."""
+        self.start_calls.in_doubt.add(key)
+        await self._refuse_when_settled(key, "the grant ended")
+
     def _call(
         self,
         key: RunKey,
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -310,12 +310,7 @@
         """Report each change at once, and send heartbeats between changes."""
         while True:
             try:
-                await asyncio.wait_for(
-                    self._report_due.wait(),
-                    SEARCH_INTERVAL_S
-                    if self._searches_quickly
-                    else HEARTBEAT_INTERVAL_S,
-                )
+                await asyncio.wait_for(self._report_due.wait(), self._report_interval_s)
             except TimeoutError:
                 self._quick_searches += 1
             if any(
@@ -325,6 +320,8 @@
                 self._mark_changed()
             if self._late_starts.settle(self._sessions):
                 self._mark_changed()
+            for session in self._sessions.values():
+                session.stop_with_grant()
             changed = self._report_due.is_set()
             self._report_due.clear()
             self._remove_ended_sessions()
@@ -339,6 +336,16 @@
                     )
                 )
 
+    @property
+    def _report_interval_s(self) -> float:
+        """Longest time until the next report, heartbeat or end of the grant."""
+        interval_s = (
+            SEARCH_INTERVAL_S if self._searches_quickly else HEARTBEAT_INTERVAL_S
+        )
+        left_s = self._grant.runs_left_s
+        ends_s = [left_s - one.stop_lead_s for one in self._sessions.values()]
+        return min([interval_s, *(one for one in ends_s if one > 0)])
+
     @property
     def _searches_quickly(self) -> bool:
         """Whether the search for a planner has only just begun."""
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -12,7 +12,10 @@
 from hyssoprill.coordination.planner.election import CLAIM_AFTER_S
 from hyssoprill.coordination.upstream import departure, late_starts
 from hyssoprill.coordination.upstream import session as session_module
-from hyssoprill.coordination.upstream.planner_grant import MAX_CALL_DELAY_S
+from hyssoprill.coordination.upstream.planner_grant import (
+    GRANT_TTL_S,
+    MAX_CALL_DELAY_S,
+)
 from hyssoprill.coordination.upstream.vm_agent import (
     HEARTBEAT_INTERVAL_S,
     SEARCH_INTERVAL_S,
@@ -971,3 +974,69 @@
         assert not entry.reports[-1].last_reports[0].crashed
 
     run_scenario(scenario)
+
+
+async def lose_planner(harness, agent, left_s: float) -> FakeEntry:
+    """Lose the planner, with this time left of its grant."""
+    entry = harness.entries[0]
+    entry.is_planner = False
+    await asyncio.sleep(0.1)
+    agent._grant.echoed_clock_s = boottime_s() - GRANT_TTL_S + left_s
+    agent._grant.began_s = agent._grant.echoed_clock_s - 1.0
+    return entry
+
+
+async def start_listed_run(harness, agent) -> None:
+    entry = await start_with_upstream(harness, agent)
+    await entry.order(1, RunOrder(TASK, 1, "x", ""))
+    await harness.wait_until(lambda: entry.reports[-1].upstreams[0].running)
+
+
+def test_run_ends_with_its_grant_when_a_late_renewal_may_extend_its_lease():
+    async def scenario(harness, agent):
+        await start_listed_run(harness, agent)
+        harness.upstream.answers_renewals = False
+        await harness.wait_until(lambda: reported_in_doubt_s(agent))
+        await lose_planner(harness, agent, left_s=2.0)
+        await asyncio.sleep(0.3)
+        assert harness.upstream.running
+        await harness.wait_until(lambda: not harness.upstream.running, 1.6)
+
+    run_scenario(scenario)
+
+
+def test_run_is_not_stopped_before_its_grant_ends_when_all_renewals_were_answered():
+    async def scenario(harness, agent):
+        await start_listed_run(harness, agent)
+        await lose_planner(harness, agent, left_s=1.0)
+        await asyncio.sleep(0.8)
+        assert harness.upstream.running
+        await harness.wait_until(lambda: not harness.upstream.running, 0.5)
+
+    run_scenario(scenario)
+
+
+def test_run_that_an_earlier_agent_was_granted_is_not_stopped_by_the_next():
+    async def scenario(harness, agent):
+        harness.upstream.running[TASK, 1] = "x"
+        agent.handle_check_in(check_in())
+        await asyncio.sleep(2 * HEARTBEAT_INTERVAL_S)
+        assert harness.upstream.leases
+        assert harness.upstream.running
+
+    run_scenario(scenario)
+
+
+def test_start_without_an_answer_is_withdrawn_when_its_grant_ends():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        harness.upstream.unanswered_starts = 100
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await harness.wait_until(lambda: harness.upstream.pending_starts)
+        await lose_planner(harness, agent, left_s=0.2)
+        await harness.wait_until(lambda: harness.upstream.stopped)
+        assert harness.upstream.pending_starts == []
+        entry.is_planner = True
+        await harness.wait_until(lambda: reported_refusals(entry))
+
+    run_scenario(scenario)
