Start no task again while a closed run of it is listed as at work

Cause: the planner took its own record for the whole truth. A run that it had closed was stopped by the agent, up to 0.4 s later, but until then neither kept its task from starting nor counted as occupying its upstream.

Fix: closed runs that VMs in contact list as running keep their tasks waiting, and what they need counts as being released.

Evidence: test_task_is_not_started_again_while_its_closed_run_is_at_work and test_closed_run_that_is_at_work_occupies_its_upstream failed before. The third test guards against waiting for a VM that is silent.

--- /dev/null
+++ b/src/hyssoprill/coordination/planner/closed_runs.py
@@ -0,0 +1,64 @@
+"""Finds runs that upstreams list as running although the planner has closed them.
+
+Their agents stop them. Until then their tasks must not start again, and they occupy
+their upstreams.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ...protocol.job import ZERO_AMOUNTS
+
+if TYPE_CHECKING:
+    from ...protocol.job import ResourceAmounts
+    from ...protocol.upstream_messages import UpstreamReport
+    from ...state.job_table import JobTable, StepKey
+    from .fleet import Fleet
+
+
+@dataclass(slots=True)
+class ClosedRuns:
+    """Closed runs that are listed as running by VMs in contact.
+
+    Attributes
+    ----------
+    tasks : set of tuple
+        Step and index of their tasks.
+    """
+
+    tasks: set[tuple[StepKey, int]] = field(default_factory=set)
+    _used: dict[str, ResourceAmounts] = field(default_factory=dict)
+
+    def used(self, upstream: str) -> ResourceAmounts:
+        """Return what such runs occupy of an upstream."""
+        return self._used.get(upstream, ZERO_AMOUNTS)
+
+    def add(self, report: UpstreamReport, job_table: JobTable) -> None:
+        """Add the closed runs of an upstream's report."""
+        open_runs = job_table.open_runs.get(report.key, {})
+        for row in report.running:
+            run = open_runs.get(row.task)
+            if run is not None and run.run == row.run:
+                continue
+            found = job_table.find_task(row.task)
+            if found is None:
+                continue
+            key, index = found
+            self.tasks.add(found)
+            need = job_table.jobs[key.job_id].job.steps[key.step].need
+            self._used[report.key] = self.used(report.key).plus(need)
+
+
+def find_closed_runs(fleet: Fleet, job_table: JobTable) -> ClosedRuns:
+    """Return the closed runs that VMs in contact list as running."""
+    closed = ClosedRuns()
+    for name, vm in fleet.vms.items():
+        if fleet.is_responsive(name):
+            for report in vm.upstreams.values():
+                closed.add(report, job_table)
+    return closed
+
+
+__all__ = ["ClosedRuns", "find_closed_runs"]
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from ...clock import boottime_s
-from ...protocol.job import ZERO_AMOUNTS
 from ...protocol.upstream_messages import FULL_PROGRESS_PERCENT
 from ...state.job_table import OPEN, WAITING, StepKey
 from ..policy.dispatch.model import (
@@ -16,6 +15,7 @@
     WaitingStep,
     core_equivalents,
 )
+from .closed_runs import ClosedRuns, find_closed_runs
 from .failures import EXCLUDE_AT_FAILURES
 from .runs import elapsed_s
 
@@ -55,12 +55,14 @@
     run_times: RunTimes
     waiting_since_s: dict[StepKey, float]
     _guaranteed_jobs: set[str] = field(init=False)
+    _closed_runs: ClosedRuns = field(init=False)
     _fit_counts: dict[tuple[str, ResourceAmounts], int] = field(
         init=False, default_factory=dict
     )
 
     def __post_init__(self) -> None:
         self._guaranteed_jobs = self._find_guaranteed_jobs()
+        self._closed_runs = find_closed_runs(self.fleet, self.job_table)
 
     def upstream_views(self) -> list[UpstreamView]:
         """Return the upstreams that accept starts.
@@ -85,7 +87,7 @@
     def _upstream_view(
         self, report: UpstreamReport, recent_failures: int
     ) -> UpstreamView:
-        used, releasing = ZERO_AMOUNTS, ZERO_AMOUNTS
+        used = releasing = self._closed_runs.used(report.key)
         is_costly = is_serving = is_filling = False
         open_runs = self.job_table.open_runs.get(report.key, {})
         for task, run in open_runs.items():
@@ -141,7 +143,7 @@
             for occurrence, number, step in job_state.ready_steps(now_ms):
                 key = StepKey(job_state.job.id, occurrence, number)
                 state = job_state.step_state(occurrence, number)
-                indices = _waiting_indices(step, state)
+                indices = self._waiting_indices(key, step, state)
                 if not indices:
                     self.waiting_since_s.pop(key, None)
                     continue
@@ -189,6 +191,16 @@
             is_suspect=_is_suspect(state, indices),
         )
 
+    def _waiting_indices(self, key: StepKey, step: Step, state: StepState) -> list[int]:
+        """Return the tasks to start; a gang starts only with all of its tasks."""
+        running = self._closed_runs.tasks
+        waiting = [
+            index
+            for index, task in enumerate(state.tasks)
+            if task.phase == WAITING and (key, index) not in running
+        ]
+        return [] if step.gang and len(waiting) < step.count else waiting
+
     def _upstreams_of(self, vms: set[str]) -> frozenset[str]:
         """Return the keys of all upstreams that some VMs report."""
         found = [self.fleet.vms[vm].upstreams for vm in vms if vm in self.fleet.vms]
@@ -341,13 +353,6 @@
     return LONG_RUNNING_RESTART_S if step.long_running else ran_s
 
 
-def _waiting_indices(step: Step, state: StepState) -> list[int]:
-    waiting = [i for i, task in enumerate(state.tasks) if task.phase == WAITING]
-    if step.gang and len(waiting) < step.count:
-        return []
-    return waiting
-
-
 def _split_suspects(
     step: Step, state: StepState, indices: list[int]
 ) -> list[list[int]]:
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -322,6 +322,17 @@
                 self.open_runs[task.upstream][key.task_name(index)] = run
         job_state.steps[key[1:]] = state
 
+    def find_task(self, name: str) -> tuple[StepKey, int] | None:
+        """Return the step and index of a task by its name, None if it is not known."""
+        try:
+            job_id, *numbers = name.split(".")
+            occurrence, number, index = map(int, numbers)
+            step = self.jobs[job_id].job.steps[number]
+        except (ValueError, KeyError, IndexError):
+            return None
+        key = StepKey(job_id, occurrence, number)
+        return (key, index) if 0 <= index < step.count else None
+
     def _update_active(self, job_state: JobState) -> None:
         """Keep a job in `active` while it may start tasks or has open runs."""
         if job_state.is_finished and not job_state.has_open_runs:
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -436,6 +436,73 @@
     run_scenario(scenario)
 
 
+async def return_with_a_closed_run(harness, make_agent, **fields):
+    """Let the run of a task lapse while it works on, and its VM return."""
+    entry, (agent,) = await start_planner(harness, make_agent, "vm-1")
+    await harness.submit(NAME, Step(need=WHOLE, estimate_ms=60_000, **fields))
+    await harness.wait_until(entry.ordered_runs)
+    open_runs = entry.replica.job_table.open_runs
+    await harness.wait_until(lambda: not open_runs[agent.key])
+    agent.running = [RunReport(f"{NAME}.0.0.0", 1, "", 50)]
+    agent.report()
+    return entry, agent
+
+
+def test_task_is_not_started_again_while_its_closed_run_is_at_work(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 0.5)
+
+    async def scenario(harness):
+        entry, agent = await return_with_a_closed_run(harness, make_agent)
+        other = make_agent(entry, "vm-2")
+        for _ in range(4):
+            agent.report()
+            other.report()
+            await asyncio.sleep(0.1)
+        assert entry.ordered_runs() == {}
+        agent.running = []
+        agent.report()
+        await harness.wait_until(entry.ordered_runs)
+
+    run_scenario(scenario)
+
+
+def test_closed_run_that_is_at_work_occupies_its_upstream(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 0.5)
+
+    async def scenario(harness):
+        entry, agent = await return_with_a_closed_run(harness, make_agent)
+        await harness.submit(URGENT, Step(need=ONE, estimate_ms=1000))
+        for _ in range(4):
+            agent.report()
+            await asyncio.sleep(0.1)
+        assert entry.ordered_runs() == {}
+        agent.running = []
+        agent.report()
+        await harness.wait_until(lambda: f"{URGENT}.0.0.0" in entry.ordered_runs())
+
+    run_scenario(scenario)
+
+
+def test_task_starts_elsewhere_when_the_vm_that_listed_it_is_silent(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 0.5)
+
+    async def scenario(harness):
+        entry, _agent = await return_with_a_closed_run(harness, make_agent)
+        monkeypatch.setattr(fleet, "MAX_SILENCE_S", 0.3)
+        other = make_agent(entry, "vm-2")
+        await asyncio.sleep(0.4)
+        other.report()
+        await harness.wait_until(lambda: entry.ordered_runs("vm-2"))
+
+    run_scenario(scenario)
+
+
 def test_sizes_of_upstreams_are_stored_once_for_all_entries(run_scenario, make_agent):
     async def scenario(harness):
         entry = harness.entry("a")
