Count a run as stalled only by listings of its upstream

Cause: the time without progress went on while no listing arrived at all, so that two renewals without an answer, 2.5 s each, made every run of the upstream look stalled.

Fix: it is measured up to the newest listing. A run that did stand still is found with the first listing that arrives again.

Evidence: test_run_is_not_stalled_while_its_upstream_sends_no_listing failed before.

--- a/src/hyssoprill/coordination/upstream/progress.py
+++ b/src/hyssoprill/coordination/upstream/progress.py
@@ -37,11 +37,12 @@
         self._last_change: dict[RunKey, tuple[int, float]] = {}
         self._max_s_per_percent: dict[RunKey, float] = {}
         self._has_stalled = False
+        self._listed_s = float("-inf")
         self._reported: dict[RunKey, RunReport] = {}
 
     def update(self, listing: RunListing) -> bool:
         """Apply a listing; return whether runs are stalled now and none was before."""
-        now_s = boottime_s()
+        now_s = self._listed_s = boottime_s()
         last_change: dict[RunKey, tuple[int, float]] = {}
         for row in listing.running:
             key = run_key(row)
@@ -69,13 +70,15 @@
         return self._has_stalled and not had_stalled
 
     def stalled_runs(self) -> list[tuple[str, int, float]]:
-        """Return the task and number of each stalled run, and its last change."""
-        now_s = boottime_s()
+        """Return the task and number of each stalled run, and its last change.
+
+        Time without a listing says nothing of the runs.
+        """
         return [
             (*key, since_s)
             for key, (percent, since_s) in self._last_change.items()
             if percent < FULL_PROGRESS_PERCENT
-            and now_s - since_s >= self._stall_timeout_s(key)
+            and self._listed_s - since_s >= self._stall_timeout_s(key)
         ]
 
     def mark_reported(self, listing: RunListing | None) -> None:
