Stop late starts on an upstream that restarts after it has drained and left

Its first start call got no answer; its upstream drained, left with a removal and came back under its id 2 s later, and the call was carried out there 11 s after it was sent. PROTOCOL allows each of these: calls without an answer are executed seconds later, and "a worker may start again under the id that it had", after whatever end.

The way in which an incarnation ends says nothing of whether its id returns; that exception is gone.

To wait no longer than needed, which was the reason of: a removal is sent by the process itself, so every call that was answered before has reached that process, and only calls without an answer in the last 12 s leave a run unsettled; and where the process has ended, the 12 s count from each call and not from the end.

Tests: test_run_of_an_upstream_that_has_left_is_settled_at_once stated the exception and is replaced. A run whose start may be late is now unsettled until the call delay is over, after a removal and after a drain without one; it is settled at once where its start was answered, listed or not, and where the delay of its call is over. The late start of a run that is done, of one that was stopped, and after two restarts has no effect, for five ways in which an incarnation may end. All of tests/coordination passes.

--- a/src/hyssoprill/coordination/upstream/late_starts.py
+++ b/src/hyssoprill/coordination/upstream/late_starts.py
@@ -31,17 +31,23 @@
 
     Attributes
     ----------
-    calls_until_s : float
-        When no such call can be left.
+    calls_until_s : dict
+        When no such call can be left, for each run.
     leases_until_s : float
         When no lease that such a call has extended can be left.
     """
 
-    runs: frozenset[RunKey]
+    calls_until_s: dict[RunKey, float]
     unsettled: set[RunKey]
-    calls_until_s: float
     leases_until_s: float
 
+    def settle_without_calls(self) -> set[RunKey]:
+        """Settle the runs for which no call can be left; return them."""
+        now_s = boottime_s()
+        settled = {run for run in self.unsettled if now_s > self.calls_until_s[run]}
+        self.unsettled -= settled
+        return settled
+
 
 class LateStarts:
     """Tells which runs of ended incarnations may run, or still start, on a later one.
@@ -49,7 +55,7 @@
     A run is settled once a later incarnation of the same id lists it as ended, or will
     never start it; once an incarnation of another id answers at the address, as it
     rejects calls to the earlier; or when the time for such calls is over. An upstream
-    that restarts checks in with its agent before that.
+    that restarts checks in with its agent before that, also one that had drained.
     """
 
     def __init__(self) -> None:
@@ -59,13 +65,20 @@
         return key in self._ended
 
     def record_end(
-        self, key: UpstreamKey, runs: set[RunKey], max_lease_s: float
+        self, key: UpstreamKey, sent_s: Mapping[RunKey, float], max_lease_s: float
     ) -> None:
-        """Record the runs that calls to an ended incarnation may still start."""
+        """Record the runs that calls to an ended incarnation may still start.
+
+        Parameters
+        ----------
+        sent_s : Mapping
+            When the newest such call was sent, at the latest, for each run.
+        """
         lease_s = max_lease_s * (1 + MAX_CLOCK_DRIFT)
-        until_s = boottime_s() + MAX_CALL_DELAY_S
         self._ended[key] = _EndedIncarnation(
-            frozenset(runs), set(runs), until_s, until_s + lease_s
+            {run: one + MAX_CALL_DELAY_S for run, one in sent_s.items()},
+            set(sent_s),
+            boottime_s() + MAX_CALL_DELAY_S + lease_s,
         )
 
     def unsettled(self, key: UpstreamKey) -> list[RunKey]:
@@ -79,7 +92,7 @@
             run
             for other, ended in self._ended.items()
             if key.restarts(other)
-            for run in ended.runs
+            for run in ended.calls_until_s
         )
 
     def lease_until_s(self, key: UpstreamKey) -> float:
@@ -109,10 +122,10 @@
                 self._log(key, settled, f"listing of {session.key}")
                 ended.unsettled -= settled
                 has_settled |= bool(settled)
-            if not restarted and boottime_s() > ended.calls_until_s:
-                self._log(key, ended.unsettled, "no call can be left")
-                has_settled |= bool(ended.unsettled)
-                ended.unsettled.clear()
+            if not restarted:
+                settled = ended.settle_without_calls()
+                self._log(key, settled, "no call can be left")
+                has_settled |= bool(settled)
             if boottime_s() > ended.leases_until_s and not ended.unsettled:
                 del self._ended[key]
         return has_settled
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -158,13 +158,11 @@
             self.crashed = crashed and not self.check_in.draining
 
     @property
-    def late_runs(self) -> set[RunKey]:
+    def late_runs(self) -> dict[RunKey, float]:
         """Runs that an incarnation that follows under the same id may execute.
 
-        None does after an end that was announced.
+        With each is given when the newest call for it was sent, at the latest.
         """
-        if self.check_in.draining:
-            return set()
         return self.start_calls.late_runs(has_process_ended=self.has_process_ended)
 
     @property
--- a/src/hyssoprill/coordination/upstream/start_calls.py
+++ b/src/hyssoprill/coordination/upstream/start_calls.py
@@ -65,17 +65,25 @@
         """Return the unlisted runs, and whether a call for each has arrived."""
         return [(*key, key in self._arrived) for key in sorted(self.unlisted)]
 
-    def late_runs(self, *, has_process_ended: bool) -> set[RunKey]:
+    def late_runs(self, *, has_process_ended: bool) -> dict[RunKey, float]:
         """Return the runs that a later incarnation may run, or may still start.
 
+        With each is given when the newest call for it was sent, at the latest.
+
         Parameters
         ----------
         has_process_ended : bool
             Whether the process that answered the calls has ended. Otherwise it may have
             been a later incarnation that accepted a run.
         """
-        pending = self._recent(self._unanswered_s) | self._recent(self._under_way_s)
-        return pending if has_process_ended else pending | self.unlisted
+        pending = {
+            key: sent_s[key]
+            for sent_s in (self._unanswered_s, self._under_way_s)
+            for key in self._recent(sent_s)
+        }
+        if has_process_ended:
+            return pending
+        return pending | dict.fromkeys(self.unlisted, boottime_s())
 
     def _recent(self, sent_s: dict[RunKey, float]) -> set[RunKey]:
         oldest_s = boottime_s() - MAX_CALL_DELAY_S
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -175,6 +175,7 @@
         """
         for key in [other for other in self._sessions if other.id == upstream_id]:
             if self._sessions[key].check_in.draining:
+                self._sessions[key].has_process_ended = True
                 self._sessions[key].record_end(crashed=False)
                 self._end_session(key, "the upstream left")
             else:
@@ -183,7 +184,8 @@
     def _end_session(self, key: UpstreamKey, why: str) -> None:
         session = self._sessions.pop(key)
         unlisted = sorted(session.start_calls.unlisted)
-        late = sorted(session.late_runs)
+        late_runs = session.late_runs
+        late = sorted(late_runs)
         decision(
             "upstream_ended",
             upstream=str(key),
@@ -194,7 +196,7 @@
             unsettled=late[:MAX_LOGGED_RUNS],
             unsettled_count=len(late),
         )
-        self._late_starts.record_end(key, set(late), self._max_lease_s)
+        self._late_starts.record_end(key, late_runs, self._max_lease_s)
         self._ended_keys.append(key)
         self._last_reports[key] = session.report()
         for expired in self._ended_keys[:-MAX_ENDED_KEYS]:
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -893,11 +893,160 @@
     run_scenario(scenario)
 
 
-def test_run_of_an_upstream_that_has_left_is_settled_at_once():
+def drain_and_remove(harness, agent) -> None:
+    agent.handle_check_in(check_in(sequence=2, draining=True))
+    agent.remove_upstream("i-1")
+
+
+def drain_and_stop_listening(harness, agent) -> None:
+    agent.handle_check_in(check_in(sequence=2, draining=True, remaining_ms=0))
+    harness.upstream.is_listening = False
+
+
+def drain_silently(harness, agent) -> None:
+    agent.handle_check_in(check_in(sequence=2, draining=True))
+
+
+def stop_listening(harness, agent) -> None:
+    harness.upstream.is_listening = False
+
+
+def vanish(harness, agent) -> None:
+    pass
+
+
+ENDINGS = [
+    drain_and_remove,
+    drain_and_stop_listening,
+    drain_silently,
+    stop_listening,
+    vanish,
+]
+"""Ways in which an incarnation ends; in some only the next one shows that it has."""
+
+
+async def end_and_restart(harness, agent, entry: FakeEntry, end) -> None:
+    """End the incarnation and start another one under its id."""
+    end(harness, agent)
+    if end in (drain_and_stop_listening, stop_listening):
+        await harness.wait_until(lambda: entry.reports[-1].ended_keys)
+    assert agent.handle_check_in(check_in(started_ms=200))
+    await harness.wait_until(lambda: harness.later.leases)
+
+
+@pytest.mark.parametrize("end", ENDINGS)
+def test_late_start_of_a_run_that_is_done_has_no_effect_after_a_restart(
+    monkeypatch, end
+):
+    monkeypatch.setattr(departure, "MAX_CHECK_IN_AGE_S", 0.1)
+
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        harness.upstream.unanswered_starts = 1
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await harness.wait_until(lambda: harness.upstream.running)
+        harness.upstream.running.clear()
+        harness.upstream.ended = [EndReport(1, TASK, 1, "done", "")]
+        await harness.wait_until(lambda: entry.reports[-1].upstreams[0].ended)
+        await entry.order(2, stored_upto=1)
+        await end_and_restart(harness, agent, entry, end)
+        harness.later.execute_late_starts(harness.upstream)
+        assert harness.later.running == {}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("end", ENDINGS)
+def test_late_start_of_a_run_that_was_stopped_has_no_effect_after_a_restart(
+    monkeypatch, end
+):
+    monkeypatch.setattr(departure, "MAX_CHECK_IN_AGE_S", 0.1)
+
     async def scenario(harness, agent):
         entry = await start_without_answer(harness, agent)
-        agent.handle_check_in(check_in(sequence=2, draining=True))
+        late = list(harness.upstream.pending_starts)
+        await entry.order(2, stopping=[(TASK, 1)])
+        await harness.wait_until(lambda: entry.reports[-1].upstreams[0].closed)
+        await entry.order(3)
+        await end_and_restart(harness, agent, entry, end)
+        harness.upstream.pending_starts = late
+        harness.later.execute_late_starts(harness.upstream)
+        assert harness.later.running == {}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("end", ENDINGS)
+def test_late_start_has_no_effect_after_two_restarts(monkeypatch, end):
+    monkeypatch.setattr(departure, "MAX_CHECK_IN_AGE_S", 0.1)
+
+    async def scenario(harness, agent):
+        entry = await start_without_answer(harness, agent)
+        await end_and_restart(harness, agent, entry, end)
+        await harness.wait_until(lambda: harness.later.stopped)
+        harness.later.stopped.clear()
+        agent.handle_check_in(check_in(started_ms=200, sequence=2, draining=True))
         agent.remove_upstream("i-1")
+        assert agent.handle_check_in(check_in(started_ms=300))
+        await harness.wait_until(lambda: harness.later.stopped == {(TASK, 1)})
+        harness.later.execute_late_starts(harness.upstream)
+        assert harness.later.running == {}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("end", [drain_and_remove, drain_and_stop_listening])
+def test_run_of_an_upstream_that_has_left_is_unsettled_while_its_start_may_be_late(
+    monkeypatch, end
+):
+    monkeypatch.setattr(late_starts, "MAX_CALL_DELAY_S", 1.0)
+    monkeypatch.setattr(departure, "MAX_CHECK_IN_AGE_S", 0.1)
+
+    async def scenario(harness, agent):
+        entry = await start_without_answer(harness, agent)
+        end(harness, agent)
+        await harness.wait_until(lambda: entry.reports[-1].ended_keys)
+        assert unsettled_runs(entry) == [(TASK, 1)]
+        await asyncio.sleep(0.5)
+        assert unsettled_runs(entry) == [(TASK, 1)]
+        await harness.wait_until(lambda: not unsettled_runs(entry), 2.0)
+
+    run_scenario(scenario)
+
+
+def test_run_is_settled_at_once_when_all_calls_to_an_upstream_that_left_are_over(
+    monkeypatch,
+):
+    monkeypatch.setattr(late_starts, "MAX_CALL_DELAY_S", 1.0)
+
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        harness.upstream.unanswered_starts = 1
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await harness.wait_until(lambda: harness.upstream.running)
+        await asyncio.sleep(1.0)
+        drain_and_remove(harness, agent)
+        await harness.wait_until(lambda: entry.reports[-1].ended_keys)
+        await harness.wait_until(
+            lambda: not unsettled_runs(entry), HEARTBEAT_INTERVAL_S / 2
+        )
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_run_whose_start_was_answered_is_settled_at_once_when_its_upstream_has_left(
+    is_listed,
+):
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        harness.upstream.answers_renewals = is_listed
+        await asyncio.sleep(0.2)
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await harness.wait_until(lambda: harness.upstream.running)
+        if is_listed:
+            await harness.wait_until(lambda: entry.reports[-1].upstreams[0].running)
+        drain_and_remove(harness, agent)
         await harness.wait_until(lambda: entry.reports[-1].ended_keys)
         assert unsettled_runs(entry) == []
 
