Let test clusters wait until their workers listen

In three runs of tests/platform beside other work (load 6 to 16 on 8 cores), two tests of test_job_path.py failed once each with ConnectionRefusedError: test_start_without_an_answer_is_carried_out_once and test_draining_worker_gets_no_new_work, the latter at its first line, a switch of a worker. `JobCluster.wait_ready` waited for entries and agents, but not for the workers, which start last. It waits for them now; no check changed.

--- a/standins/job_cluster.py
+++ b/standins/job_cluster.py
@@ -275,13 +275,15 @@
         return "; ".join(found) or "all processes run"
 
     def wait_ready(self) -> None:
-        """Wait until all entries are ready and all agents take check-ins."""
+        """Wait until entries are ready, agents take check-ins and workers listen."""
         for port in self.ready_ports.values():
             self.wait_until(
                 lambda port=port: request(port, "GET", "/ready", b"")[0] == 200
             )
         for port in self.controls.values():
             self.wait_until(lambda port=port: request(port, "GET", "/", b"")[0] == 404)
+        for name in self.workers:
+            self.wait_until(lambda name=name: self.switch_worker(name) is not None)
 
 
 def request(
