Let an agent that has restarted count the starts of its predecessor as unanswered

A late start that an agent's earlier process had sent was carried out by the next incarnation of the upstream under the same id: the run was closed with the incarnation and begun elsewhere, so that two runs of one task were at work (TWICE). The agent keeps the calls without an answer in memory only.

Tests: test_late_start_of_an_earlier_agent_has_no_effect_after_a_restart failed on the commit before (the next incarnation was not told to stop the run), and test_first_orders_of_an_agent_that_runs_for_long_leave_no_calls_to_wait_for holds on both. test_listed_run_whose_starts_were_answered_is_settled_when_its_upstream_restarts, and its counterpart for an upstream that has left, ordered the run with the first orders; they say now that no earlier agent has called, by first orders without it, as the tests of refusals do.

Runs that the planner has closed before the restarted agent's first orders are not known to it; nor is any run where agent and upstream restart at once.

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -184,7 +184,9 @@
         self._ordered_runs = {(run.task, run.run): run for run in orders.runs}
         if is_first:
             # An earlier agent process may already have tried to start these runs.
-            self.start_calls.in_doubt |= self._ordered_runs.keys()
+            self.start_calls.record_earlier(
+                self._ordered_runs.keys() | set(orders.stopping), self._grant.began_s
+            )
         self.start_calls.in_doubt &= self._ordered_runs.keys() | set(orders.stopping)
         for key in [one for one in self._refused if one not in self._ordered_runs]:
             del self._refused[key]
--- a/src/hyssoprill/coordination/upstream/start_calls.py
+++ b/src/hyssoprill/coordination/upstream/start_calls.py
@@ -31,6 +31,12 @@
         self._under_way_s: dict[RunKey, float] = {}
         self._unanswered_s: dict[RunKey, float] = {}
 
+    def record_earlier(self, keys: Iterable[RunKey], ended_s: float) -> None:
+        """Record calls of an earlier agent process, which has ended by `ended_s`."""
+        for key in keys:
+            self.in_doubt.add(key)
+            self._unanswered_s.setdefault(key, ended_s)
+
     def begin(self, key: RunKey) -> None:
         """Record that a call is being sent."""
         self.unlisted.add(key)
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -10,7 +10,7 @@
 
 from hyssoprill.clock import boottime_s
 from hyssoprill.coordination.planner.election import CLAIM_AFTER_S
-from hyssoprill.coordination.upstream import departure, late_starts
+from hyssoprill.coordination.upstream import departure, late_starts, start_calls
 from hyssoprill.coordination.upstream import session as session_module
 from hyssoprill.coordination.upstream.planner_grant import MAX_CALL_DELAY_S
 from hyssoprill.coordination.upstream.vm_agent import (
@@ -852,7 +852,8 @@
 def test_listed_run_whose_starts_were_answered_is_settled_when_its_upstream_restarts():
     async def scenario(harness, agent):
         entry = await start_with_upstream(harness, agent)
-        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await entry.order(1)
+        await entry.order(2, RunOrder(TASK, 1, "x", ""))
         await harness.wait_until(lambda: entry.reports[-1].upstreams[0].running)
         harness.later.answers_stops = False
         agent.handle_check_in(check_in(started_ms=200))
@@ -1034,15 +1035,47 @@
     run_scenario(scenario)
 
 
+def test_late_start_of_an_earlier_agent_has_no_effect_after_a_restart():
+    async def scenario(harness, agent):
+        entry = await start_with_upstream(harness, agent)
+        harness.upstream.pending_starts = [(TASK, 1)]
+        # The first orders may name runs that an earlier agent was starting.
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await harness.wait_until(lambda: entry.reports[-1].upstreams[0].running)
+        await end_and_restart(harness, agent, entry, drain_and_remove)
+        harness.later.execute_late_starts(harness.upstream)
+        assert harness.later.running == {}
+
+    run_scenario(scenario)
+
+
+def test_first_orders_of_an_agent_that_runs_for_long_leave_no_calls_to_wait_for(
+    monkeypatch,
+):
+    monkeypatch.setattr(start_calls, "MAX_CALL_DELAY_S", 0.2)
+
+    async def scenario(harness, agent):
+        await asyncio.sleep(0.3)
+        entry = await start_with_upstream(harness, agent)
+        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await harness.wait_until(lambda: entry.reports[-1].upstreams[0].running)
+        await end_and_restart(harness, agent, entry, drain_and_remove)
+        assert unsettled_runs(entry) == []
+        assert harness.later.stopped == set()
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("is_listed", [False, True])
 def test_run_whose_start_was_answered_is_settled_at_once_when_its_upstream_has_left(
     is_listed,
 ):
     async def scenario(harness, agent):
         entry = await start_with_upstream(harness, agent)
+        await entry.order(1)
         harness.upstream.answers_renewals = is_listed
         await asyncio.sleep(0.2)
-        await entry.order(1, RunOrder(TASK, 1, "x", ""))
+        await entry.order(2, RunOrder(TASK, 1, "x", ""))
         await harness.wait_until(lambda: harness.upstream.running)
         if is_listed:
             await harness.wait_until(lambda: entry.reports[-1].upstreams[0].running)
