--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -160,13 +160,11 @@
             self.crashed = crashed and not self.check_in.draining
 
     @property
-    def late_runs(self) -> set[RunKey]:
+    def late_runs(self) -> dict[RunKey, float]:
         """Runs that an incarnation that follows under the same id may execute.
 
-        None does after an end that was announced.
+        With each is given when the newest call for it was sent, at the latest.
         """
-        if self.check_in.draining:
-            return set()
         return self.start_calls.late_runs(has_process_ended=self.has_process_ended)
 
     @property
@@ -188,7 +186,9 @@
         self._ordered_runs = {(run.task, run.run): run for run in orders.runs}
         if is_first:
             # An earlier agent process may already have tried to start these runs.
-            self.start_calls.in_doubt |= self._ordered_runs.keys()
+            self.start_calls.record_earlier(
+                self._ordered_runs.keys() | set(orders.stopping), self._grant.began_s
+            )
         self.start_calls.in_doubt &= self._ordered_runs.keys() | set(orders.stopping)
         for key in [one for one in self._refused if one not in self._ordered_runs]:
             del self._refused[key]
