--- /dev/null
+++ b/tests/platform/test_odd_writers.py
@@ -0,0 +1,37 @@
+"""Tests with real processes that read what another writer has left."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from standins.job_cluster import request
+from tests.platform.test_job_path import all_starts, job_id, wait_state
+
+CHECK_IN = {"service": "service-a", "address": "127.0.0.1:1", "state": "ready"}
+
+
+def serve_a_job(jobs, number: int) -> None:
+    """Submit a job at each entry and wait until both have ended."""
+    for entry in ("entry-1", "entry-2"):
+        assert jobs.submit(entry, job_id(number)) == 200
+        wait_state(jobs, entry, job_id(number), "completed")
+        number += 1
+
+
+@pytest.mark.parametrize(
+    ("upstream_id", "odd"),
+    [
+        ("i-odd", {"capacity": {"gpu": 10**400}}),
+        ("i-odd", {"address": "a..b:8080"}),
+        ("i-odd", {"remaining_ms": 2**64}),
+        ("i%7Codd", {}),
+    ],
+)
+def test_jobs_are_served_after_an_odd_check_in(jobs, upstream_id, odd):
+    """The agent's reports, or the planner's rounds, ended with an exception."""
+    body = json.dumps({**CHECK_IN, **odd}).encode()
+    for port in jobs.controls.values():
+        request(port, "PUT", f"/instances/{upstream_id}", body)
+    serve_a_job(jobs, 1)
+    assert len(all_starts(jobs)) == 2
