Refuse jobs with numbers that the planner cannot calculate with

A client's job with an estimate_ms of 400 digits was answered 200 and stored. Each entry that became planner then ended its rounds with an OverflowError, as an integer of that size has no float, and no job of any client was started any more. A job with times of 10**9 held the planner in one round without an end.

What is out of range is answered 400 at once, with the field's name, and is not stored.

--- a/src/hyssoprill/protocol/job.py
+++ b/src/hyssoprill/protocol/job.py
@@ -2,17 +2,29 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
-from msgspec import Struct
+from msgspec import Meta, Struct
+
+from .bounds import Count, Quantity, SignedCount, Text
+
+MAX_TASKS_PER_STEP = 1000
+"""Limit per step, as the states of a step's tasks share one store record."""
+MAX_STEPS = 1000
+MAX_OCCURRENCES = 10_000
+"""Limit per job, as the planner goes through all occurrences that are due."""
+
+TaskCount = Annotated[int, Meta(ge=1, le=MAX_TASKS_PER_STEP)]
+Occurrences = Annotated[int, Meta(ge=0, le=MAX_OCCURRENCES)]
+JobId = Annotated[str, Meta(pattern=r"^[0-9A-Za-z_-]{1,64}\Z")]
 
 
 class ResourceAmounts(NamedTuple):
     """Vector of resource amounts that an upstream has or a task needs."""
 
-    accelerators: int = 0
-    millicores: int = 0
-    memory_mb: int = 0
+    accelerators: Count = 0
+    millicores: Count = 0
+    memory_mb: Count = 0
 
     def plus(self, other: ResourceAmounts, times: int = 1) -> ResourceAmounts:
         """Return the sum with `times` times another vector."""
@@ -82,21 +94,21 @@
         time; 0 for no limit.
     """
 
-    count: int = 1
+    count: TaskCount = 1
     need: ResourceAmounts = ZERO_AMOUNTS
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    estimate_ms: Count = 0
+    after: tuple[Count, ...] = ()
     checkpoints: bool = False
     gang: bool = False
     rack_sensitive: bool = False
-    label: str = ""
-    data_rack: str = ""
-    max_per_upstream: int = 0
+    label: Text = ""
+    data_rack: Text = ""
+    max_per_upstream: Count = 0
     speculative: bool = False
     long_running: bool = False
-    target_ms: int = 0
+    target_ms: Count = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Count = 0
 
 
 class Job(Struct, frozen=True, omit_defaults=True):
@@ -122,20 +134,25 @@
         Time between the starts of two occurrences.
     """
 
-    id: str
+    id: JobId
     queue: str
     group: str
     workspace: str
-    priority: int
-    max_attempts: int
-    stretch: float
-    target_latency_ms: int
-    accepted_ms: int
+    priority: SignedCount
+    max_attempts: Count
+    stretch: Quantity
+    target_latency_ms: Count
+    accepted_ms: Count
     payload: str
-    steps: tuple[Step, ...]
-    times: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    steps: Annotated[tuple[Step, ...], Meta(min_length=1, max_length=MAX_STEPS)]
+    times: Occurrences = 0
+    start_at_ms: Count = 0
+    interval_ms: Count = 0
+
+    def __post_init__(self) -> None:
+        for number, step in enumerate(self.steps):
+            if any(one >= number for one in step.after):
+                raise ValueError(f"step {number} waits for itself or a later one")
 
     @property
     def occurrences(self) -> int:
@@ -160,10 +177,13 @@
 
 
 __all__ = [
+    "MAX_STEPS",
     "ZERO_AMOUNTS",
     "Job",
+    "Occurrences",
     "ResourceAmounts",
     "Step",
+    "TaskCount",
     "parse_job_id",
     "task_name",
 ]
--- a/tests/platform/test_odd_writers.py
+++ b/tests/platform/test_odd_writers.py
@@ -5,7 +5,7 @@
 import json
 
 import pytest
-from standins.job_cluster import request
+from standins.job_cluster import PREFIX, request
 from tests.platform.test_job_path import all_starts, job_id, wait_state
 
 CHECK_IN = {"service": "service-a", "address": "127.0.0.1:1", "state": "ready"}
@@ -35,3 +35,20 @@
         request(port, "PUT", f"/instances/{upstream_id}", body)
     serve_a_job(jobs, 1)
     assert len(all_starts(jobs)) == 2
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"steps": [{"estimate_ms": 10**400}]},
+        {"steps": [{"gpu": 1, "may_miss": 10**400}], "times": 10**9},
+    ],
+)
+def test_odd_job_is_refused_at_once_and_others_are_served(jobs, odd):
+    """The planner's rounds ended with an OverflowError, or did not end at all."""
+    raw = json.dumps({"spec": "", **odd}).encode()
+    path = PREFIX + job_id(9)
+    statuses = [jobs.call(entry, "POST", path, raw=raw)[0] for entry in jobs.fronts]
+    serve_a_job(jobs, 1)
+    assert statuses == [400, 400]
+    assert jobs.state("entry-1", job_id(9)) == "410"
