Set records of jobs aside that no job can have

A record that another writer had left in the topic of jobs ended the reading of the store with a RecursionError where it was nested deeply: entries turned unready, and found no job. A record that could be decoded was applied: a state of a step that the job does not have, or with an upstream that is no key, ended the planner's rounds in each entry, and a hand-over of a term that has not begun left all terms vacant, so that the entries took the term from each other at each check.

Records are decoded with bounds, and a state has to fit its job: the step, the number of tasks, the upstream of an open run. A hand-over names a term that has begun. What does not is logged as record_unreadable and changes nothing, and records that were held for a job are applied one by one. The states of tasks move to a module of their own.

--- a/src/hyssoprill/protocol/upstream_key.py
+++ b/src/hyssoprill/protocol/upstream_key.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
+
+_KEY_PATTERN = r"[^|]*\|[^|]*\|[0-9]{1,16}\|[^|]*"
+KeyText = Annotated[str, Meta(pattern=rf"^{_KEY_PATTERN}\Z")]
+"""Text that `parse_upstream_key` can parse."""
+OptionalKeyText = Annotated[str, Meta(pattern=rf"^(?:{_KEY_PATTERN})?\Z")]
+"""The same, or ''."""
 
 
 class UpstreamKey(NamedTuple):
@@ -47,4 +55,4 @@
     return UpstreamKey(vm, address, int(born_ms), upstream_id)
 
 
-__all__ = ["UpstreamKey", "parse_upstream_key"]
+__all__ = ["KeyText", "OptionalKeyText", "UpstreamKey", "parse_upstream_key"]
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -11,21 +11,30 @@
 from typing import TYPE_CHECKING, Literal, NamedTuple
 
 import msgspec
-from loguru import logger
 from msgspec import Struct
 
 from ..clock import boottime_s
-from ..protocol.job import Job, Step, task_name
+from ..logs import decision
+from ..protocol.bounds import MAX_TEXT_LENGTH, Count, Text
+from ..protocol.job import Job, Step
 from .known_capacities import KnownCapacities
+from .step_state import (
+    DONE,
+    FAILED,
+    OPEN,
+    STEP_PREFIX,
+    WAITING,
+    StepKey,
+    StepState,
+    TaskState,
+    parse_step_record,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-WAITING, OPEN, DONE, FAILED = 0, 1, 2, 3
-
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
-STEP_PREFIX = "step/"
 PLANNER_KEY = "planner"
 VACATED_KEY = "vacated"
 SIZES_KEY = "sizes"
@@ -33,64 +42,6 @@
 JobStatus = Literal["queued", "running", "completed", "failed", "cancelled"]
 
 
-class TaskState(Struct, frozen=True, array_like=True, omit_defaults=True):
-    """Stored state of one task of a step.
-
-    Attributes
-    ----------
-    phase : int
-        `WAITING`, `OPEN` (a run may be on `upstream`), `DONE` or `FAILED`.
-    run : int
-        Number of the newest run, 0 before the first.
-    upstream : str
-        Key of the upstream that the newest run was assigned to.
-    failures : int
-        Number of runs that ended as failed.
-    checkpoint : str
-        Checkpoint from which the newest run was, or the next will be, started.
-    last_failed_run : int
-        The newest run that was counted as failed.
-    started_ms : int
-        When the start of the newest run was decided, in milliseconds since 1970.
-    newer_checkpoint : str
-        Newest checkpoint that the open run has saved, where later than `checkpoint`.
-    ran_ms : int
-        Run time of a done task; 0 where it says little of the task, as after a resume.
-    crashed_vms : tuple of str
-        For each of its runs under which an upstream crashed before it had listed the
-        run, the VM of that upstream; empty once a later run has worked. A task with
-        such runs is a suspect.
-    lone_crashes : int
-        Number of these crashes where no other job's task was starting.
-    last_crashed_run : int
-        The newest run that was counted as crashed.
-    """
-
-    phase: int = WAITING
-    run: int = 0
-    upstream: str = ""
-    failures: int = 0
-    checkpoint: str = ""
-    last_failed_run: int = 0
-    started_ms: int = 0
-    newer_checkpoint: str = ""
-    ran_ms: int = 0
-    crashed_vms: tuple[str, ...] = ()
-    lone_crashes: int = 0
-    last_crashed_run: int = 0
-
-
-class StepState(Struct, frozen=True, array_like=True):
-    """Stored state of all tasks of one occurrence of a step."""
-
-    tasks: tuple[TaskState, ...]
-
-    @property
-    def is_done(self) -> bool:
-        """Whether all tasks are done."""
-        return all(task.phase == DONE for task in self.tasks)
-
-
 class Term(Struct, frozen=True):
     """Term of the entry that acts as planner.
 
@@ -98,30 +49,13 @@
     too long.
     """
 
-    term: int
-    planner: str
-    link_url: str
-    incarnation: str
+    term: Count
+    planner: Text
+    link_url: Text
+    incarnation: Text
     resigned: bool = False
 
 
-class StepKey(NamedTuple):
-    """Identifies one occurrence of one step of a job."""
-
-    job_id: str
-    occurrence: int
-    step: int
-
-    def task_name(self, index: int) -> str:
-        """Return the unique name of a task of the step."""
-        return task_name(self.job_id, self.occurrence, self.step, index)
-
-    @property
-    def record_key(self) -> str:
-        """Key of the step's record in the jobs topic."""
-        return f"{STEP_PREFIX}{self.job_id}.{self.occurrence}.{self.step}"
-
-
 class OpenRun(NamedTuple):
     """A run that was assigned to an upstream and is not known to have ended."""
 
@@ -257,28 +191,31 @@
     def apply(self, offset: int, key: str, value: bytes) -> bool:
         """Apply a record; return whether it was newer than the known one of its key.
 
-        A record that cannot be decoded is logged and skipped.
+        A record that cannot be read is logged and skipped.
         """
         if self._offsets.get(key, -1) >= offset:
             return False
         self._offsets[key] = offset
+        self._apply_if_readable(offset, key, value)
+        return True
+
+    def _apply_if_readable(self, offset: int, key: str, value: bytes) -> None:
         try:
             self._apply(offset, key, value)
-        except (msgspec.MsgspecError, ValueError) as exc:
-            logger.bind(key=key, offset=offset).error("cannot decode record: {}", exc)
-        return True
+        except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+            name = key[:MAX_TEXT_LENGTH]
+            decision("record_unreadable", key=name, offset=offset, why=str(exc))
 
     def _apply(self, offset: int, key: str, value: bytes) -> None:
         if key == PLANNER_KEY:
             self.term = msgspec.json.decode(value, type=Term)
         elif key == VACATED_KEY:
-            vacated = msgspec.json.decode(value, type=int)
-            self.vacated_term = max(self.vacated_term, vacated)
+            self._apply_vacated(msgspec.json.decode(value, type=Count))
         elif key == SIZES_KEY:
             self.known_capacities = msgspec.json.decode(value, type=KnownCapacities)
         elif key.startswith(JOB_PREFIX):
             self._apply_job(key.removeprefix(JOB_PREFIX), value)
-        else:
+        elif key.startswith((CANCEL_PREFIX, STEP_PREFIX)):
             job_id = _parse_job_id(key)
             job_state = self.jobs.get(job_id)
             if job_state is None:
@@ -286,6 +223,15 @@
                     self._orphans[job_id].append((offset, key, value))
                 return
             self._apply_to_job(job_state, key, value)
+        else:
+            raise ValueError("records of this key are not known")
+
+    def _apply_vacated(self, term: int) -> None:
+        """Apply that a term was handed over, which can only be one that has begun."""
+        newest = self.term.term if self.term is not None else 0
+        if term > newest:
+            raise ValueError(f"term {term} is later than the newest, {newest}")
+        self.vacated_term = max(self.vacated_term, term)
 
     def _apply_job(self, job_id: str, value: bytes) -> None:
         if not value:
@@ -293,21 +239,22 @@
             return
         if job_id in self.jobs:
             return
-        job_state = JobState(msgspec.json.decode(value, type=Job))
+        job = msgspec.json.decode(value, type=Job)
+        if job.id != job_id:
+            raise ValueError(f"the record is of job {job.id}")
+        job_state = JobState(job)
         self.jobs[job_id] = job_state
         self.active[job_id] = job_state
-        for _offset, key, held in self._orphans.pop(job_id, ()):
-            self._apply_to_job(job_state, key, held)
+        for offset, key, held in self._orphans.pop(job_id, ()):
+            self._apply_if_readable(offset, key, held)
 
     def _apply_to_job(self, job_state: JobState, key: str, value: bytes) -> None:
         if not value:
             return
-        if key.startswith(CANCEL_PREFIX):
+        if key == CANCEL_PREFIX + job_state.job.id:
             job_state.cancelled = True
-        elif key.startswith(STEP_PREFIX):
-            step_key = _parse_step_key(key)
-            state = msgspec.json.decode(value, type=StepState)
-            self._set_step(job_state, step_key, state)
+        else:
+            self._set_step(job_state, *parse_step_record(job_state.job, key, value))
         self._update_active(job_state)
 
     def _set_step(self, job_state: JobState, key: StepKey, state: StepState) -> None:
@@ -347,11 +294,6 @@
     return key.partition("/")[2].partition(".")[0]
 
 
-def _parse_step_key(key: str) -> StepKey:
-    job_id, occurrence, number = key.partition("/")[2].split(".")
-    return StepKey(job_id, int(occurrence), int(number))
-
-
 __all__ = [
     "CANCEL_PREFIX",
     "DONE",
--- /dev/null
+++ b/src/hyssoprill/state/step_state.py
@@ -0,0 +1,143 @@
+"""Stored states of the tasks of a step, and the key of their record."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Annotated, NamedTuple
+
+import msgspec
+from msgspec import Meta, Struct
+
+from ..protocol.bounds import Count, SignedCount, Text
+from ..protocol.job import task_name
+from ..protocol.upstream_key import OptionalKeyText
+
+if TYPE_CHECKING:
+    from ..protocol.job import Job
+
+WAITING, OPEN, DONE, FAILED = 0, 1, 2, 3
+
+STEP_PREFIX = "step/"
+
+
+class TaskState(Struct, frozen=True, array_like=True, omit_defaults=True):
+    """Stored state of one task of a step.
+
+    Attributes
+    ----------
+    phase : int
+        `WAITING`, `OPEN` (a run may be on `upstream`), `DONE` or `FAILED`.
+    run : int
+        Number of the newest run, 0 before the first.
+    upstream : str
+        Key of the upstream that the newest run was assigned to.
+    failures : int
+        Number of runs that ended as failed.
+    checkpoint : str
+        Checkpoint from which the newest run was, or the next will be, started.
+    last_failed_run : int
+        The newest run that was counted as failed.
+    started_ms : int
+        When the start of the newest run was decided, in milliseconds since 1970.
+    newer_checkpoint : str
+        Newest checkpoint that the open run has saved, where later than `checkpoint`.
+    ran_ms : int
+        Run time of a done task; 0 where it says little of the task, as after a resume.
+    crashed_vms : tuple of str
+        For each of its runs under which an upstream crashed before it had listed the
+        run, the VM of that upstream; empty once a later run has worked. A task with
+        such runs is a suspect.
+    lone_crashes : int
+        Number of these crashes where no other job's task was starting.
+    last_crashed_run : int
+        The newest run that was counted as crashed.
+    """
+
+    phase: Annotated[int, Meta(ge=WAITING, le=FAILED)] = WAITING
+    run: Count = 0
+    upstream: OptionalKeyText = ""
+    failures: Count = 0
+    checkpoint: Text = ""
+    last_failed_run: Count = 0
+    started_ms: SignedCount = 0
+    newer_checkpoint: Text = ""
+    ran_ms: SignedCount = 0
+    crashed_vms: tuple[Text, ...] = ()
+    lone_crashes: Count = 0
+    last_crashed_run: Count = 0
+
+
+class StepState(Struct, frozen=True, array_like=True):
+    """Stored state of all tasks of one occurrence of a step."""
+
+    tasks: tuple[TaskState, ...]
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks are done."""
+        return all(task.phase == DONE for task in self.tasks)
+
+
+class StepKey(NamedTuple):
+    """Identifies one occurrence of one step of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+    def task_name(self, index: int) -> str:
+        """Return the unique name of a task of the step."""
+        return task_name(self.job_id, self.occurrence, self.step, index)
+
+    @property
+    def record_key(self) -> str:
+        """Key of the step's record in the jobs topic."""
+        return f"{STEP_PREFIX}{self.job_id}.{self.occurrence}.{self.step}"
+
+
+def parse_step_record(job: Job, key: str, value: bytes) -> tuple[StepKey, StepState]:
+    """Parse the record of a step of a job.
+
+    Raises
+    ------
+    ValueError
+        If key or value cannot be read, or cannot be of a step of this job.
+    """
+    step_key = _parse_step_key(key)
+    state = _decoder.decode(value)
+    _check_step(job, step_key, state)
+    return step_key, state
+
+
+def _parse_step_key(key: str) -> StepKey:
+    job_id, occurrence, number = key.partition("/")[2].split(".")
+    step_key = StepKey(job_id, int(occurrence), int(number))
+    if step_key.record_key != key:
+        raise ValueError("the key is not of a step")
+    return step_key
+
+
+def _check_step(job: Job, key: StepKey, state: StepState) -> None:
+    """Raise a `ValueError` where a state cannot be of a job's step."""
+    if key.occurrence not in range(job.occurrences):
+        raise ValueError(f"the job has no occurrence {key.occurrence}")
+    if key.step not in range(len(job.steps)):
+        raise ValueError(f"the job has no step {key.step}")
+    if len(state.tasks) != job.steps[key.step].count:
+        raise ValueError(f"the step does not have {len(state.tasks)} tasks")
+    if any(task.phase == OPEN and not task.upstream for task in state.tasks):
+        raise ValueError("an open run has no upstream")
+
+
+_decoder = msgspec.json.Decoder(StepState)
+
+__all__ = [
+    "DONE",
+    "FAILED",
+    "OPEN",
+    "STEP_PREFIX",
+    "WAITING",
+    "StepKey",
+    "StepState",
+    "TaskState",
+    "parse_step_record",
+]
--- a/standins/job_cluster.py
+++ b/standins/job_cluster.py
@@ -227,10 +227,13 @@
 
     def put(self, key: str, value: Any) -> None:
         """Write a record as the operator."""
-        raw_key, raw = key.encode(), json.dumps(value).encode()
-        size = 1 + len(raw_key) + len(raw)
-        data = size.to_bytes(4, "big") + bytes([len(raw_key)]) + raw_key + raw
-        path = "/log-append?topic=keyed.op&part=0"
+        self.append("keyed.op", key.encode(), json.dumps(value).encode())
+
+    def append(self, topic: str, key: bytes, value: bytes) -> None:
+        """Append a record to a topic as any writer may."""
+        size = 1 + len(key) + len(value)
+        data = size.to_bytes(4, "big") + bytes([len(key)]) + key + value
+        path = f"/log-append?topic={topic}&part=0"
         assert request(self.store_port, "POST", path, data)[0] == 200
 
     def switch_store(self, **switches: Any) -> Any:
--- a/tests/platform/test_odd_writers.py
+++ b/tests/platform/test_odd_writers.py
@@ -52,3 +52,21 @@
     serve_a_job(jobs, 1)
     assert statuses == [400, 400]
     assert jobs.state("entry-1", job_id(9)) == "410"
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        (b"planner", b'{"x":' + b"[" * 100_000),
+        (b"vacated", b"1000000"),
+        (b"job/%s" % job_id(9).encode(), b'{"id":"x"}'),
+        (b"unknown", b"\xff"),
+    ],
+)
+def test_jobs_are_served_after_an_odd_record_of_a_job(jobs, key, value):
+    """Each entry stopped following the store, and refused or forgot all jobs."""
+    jobs.append("keyed.jobs", key, value)
+    serve_a_job(jobs, 1)
+    jobs.kill_and_restart("entry-1", "entry-2")
+    jobs.wait_ready()
+    serve_a_job(jobs, 3)
