Follow no address of an entry that cannot be one

Another writer's record in the list of entries was dialled as it stood. tcp://127.0.0.1 or inproc://other ended the task of the link with an exception that nothing retrieved; port was taken modulo 65536, so that reports went to whatever listens there; and an odd record under the name of an entry replaced the address that was known. An agent that got such an address in a referral waited for it for a second, and asked no other.

The list takes a name and an address of the type LinkUrl, or logs address_unreadable and keeps what it has. A referral is followed where its address is known. A link that cannot be dialled at all is tried again at the usual interval.

--- a/src/hyssoprill/coordination/entry_watcher.py
+++ b/src/hyssoprill/coordination/entry_watcher.py
@@ -5,8 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ..errors import StoreError
 from ..logs import decision
+from ..protocol.bounds import LinkUrl, Name
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,6 +18,8 @@
 
 READ_WAIT_S = 20.0
 RETRY_DELAY_S = 1.0
+MAX_LOGGED = 64
+"""Characters of an unreadable entry's name that are logged."""
 
 
 class EntryWatcher:
@@ -39,10 +44,19 @@
         self._on_change = on_change
 
     def update(self, name: str, url: str) -> None:
-        """Set the address at which an entry listens; '' removes the entry."""
+        """Set the address at which an entry listens; '' removes the entry.
+
+        An address that cannot be one is logged, and changes nothing.
+        """
         if not url:
             self.link_urls.pop(name, None)
-        elif self.link_urls.get(name) != url:
+            return
+        try:
+            msgspec.convert((name, url), tuple[Name, LinkUrl])
+        except msgspec.ValidationError as exc:
+            decision("address_unreadable", entry=name[:MAX_LOGGED], why=str(exc))
+            return
+        if self.link_urls.get(name) != url:
             self.link_urls[name] = url
             self._on_change(name)
 
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -279,11 +279,11 @@
                 self._hub.hang_up(other)
 
     def _switch_planner(self, name: str, link_url: str) -> None:
-        """Send reports to one entry from now on."""
-        self._planner = name
-        self._planner_heard_s = boottime_s()
+        """Send reports to one entry from now on, if its address is known."""
         self._entries.update(name, link_url)
-        self._hub.dial(name, self._entries.link_urls[name])
+        if name in self._entries.link_urls:
+            self._planner, self._planner_heard_s = name, boottime_s()
+            self._hub.dial(name, self._entries.link_urls[name])
 
     def _search_planner(self) -> None:
         """Connect to all entries to find out which one plans."""
--- a/src/hyssoprill/transport/link.py
+++ b/src/hyssoprill/transport/link.py
@@ -146,16 +146,26 @@
 
     async def _maintain_link(self, link: _DialledLink) -> None:
         while not link.closed:
-            with pynng.Pair1(
-                polyamorous=True, recv_max_size=MAX_FRAME_BYTES, send_buffer_size=128
-            ) as socket:
-                socket.dial(link.url, block=False)
-                link.socket = socket
-                await self._receive_until_silent(socket)
-                link.socket = None
+            try:
+                await self._use_link(link)
+            except pynng.NNGException as exc:
+                # The address cannot be dialled, or there are no resources to do so.
+                self._metrics.failure("link_dial", exc)
             self._metrics.count("links_redialled")
             await asyncio.sleep(REDIAL_DELAY_S)
 
+    async def _use_link(self, link: _DialledLink) -> None:
+        """Dial a link and receive from it until it is silent or closed."""
+        with pynng.Pair1(
+            polyamorous=True, recv_max_size=MAX_FRAME_BYTES, send_buffer_size=128
+        ) as socket:
+            socket.dial(link.url, block=False)
+            link.socket = socket
+            try:
+                await self._receive_until_silent(socket)
+            finally:
+                link.socket = None
+
     async def _receive_until_silent(self, socket: pynng.Pair1) -> None:
         # `asyncio.wait_for` would receive in a separate task, whose exception is never
         # retrieved if the link is closed while that task is being cancelled.
--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -380,6 +380,23 @@
     run_scenario(scenario)
 
 
+def test_agent_does_not_follow_a_referral_to_an_address_that_cannot_be_one():
+    """It waited for an entry that it could not reach, and asked no other."""
+
+    async def scenario(harness, agent):
+        other = await harness.add_entry("entry-1")
+        other.is_planner = False
+        other.referral = Referral(3, "entry-9", "tcp://127.0.0.1:99999999")
+        agent.handle_check_in(check_in())
+        await harness.wait_until(lambda: other.reports)
+        await asyncio.sleep(0.1)
+        assert agent._searching
+        assert not agent._planner
+        assert list(agent._entries.link_urls) == ["entry-1"]
+
+    run_scenario(scenario)
+
+
 def test_agent_finds_a_planner_soon_after_its_election():
     async def scenario(harness, agent):
         entry = await harness.add_entry("entry-1")
--- a/tests/platform/test_odd_writers.py
+++ b/tests/platform/test_odd_writers.py
@@ -70,3 +70,20 @@
     jobs.kill_and_restart("entry-1", "entry-2")
     jobs.wait_ready()
     serve_a_job(jobs, 3)
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        (b"entry-1", b"tcp://127.0.0.1:99999999"),
+        (b"entry-9", b"tcp://127.0.0.1"),
+        (b"entry-9", b"\xff"),
+        (b"entry-9", b"[" * 100_000),
+    ],
+)
+def test_jobs_are_served_after_an_odd_record_of_an_entry(jobs, key, value):
+    jobs.append("keyed.members", key, value)
+    serve_a_job(jobs, 1)
+    jobs.kill_and_restart("entry-1", "vm-1", "vm-2")
+    jobs.wait_ready()
+    serve_a_job(jobs, 3)
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -70,3 +70,19 @@
             await asyncio.sleep(0.6)
 
     assert unhandled_errors(scenario) == []
+
+
+def test_link_whose_address_cannot_be_dialled_leaves_the_others_and_its_name_usable():
+    """The link's task ended with an exception that nothing retrieved."""
+
+    async def scenario():
+        async with hub("far") as far, hub("near") as near:
+            for url in ("x", "tcp://127.0.0.1", ""):
+                near.dial("far", url)
+                await asyncio.sleep(0.3)
+            near.dial("far", far.listen("127.0.0.1", 0))
+            async with asyncio.timeout(2.0):
+                while not await near.send("far", RelayResult("token", "stored", 0)):
+                    await asyncio.sleep(0.01)
+
+    assert unhandled_errors(scenario) == []
