--- a/src/hyssoprill/protocol/bounds.py
+++ b/src/hyssoprill/protocol/bounds.py
@@ -20,6 +20,7 @@
 SignedCount = Annotated[int, Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 UnixMs = Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)]
 Quantity = Annotated[float, Meta(ge=0, le=MAX_COUNT)]
+SignedQuantity = Annotated[float, Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 Text = Annotated[str, Meta(max_length=MAX_TEXT_LENGTH)]
 Name = Annotated[str, Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
 
@@ -51,6 +52,7 @@
     "Name",
     "Quantity",
     "SignedCount",
+    "SignedQuantity",
     "Text",
     "UnixMs",
     "UpstreamId",
--- a/tests/platform/test_odd_writers.py
+++ b/tests/platform/test_odd_writers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 
 import pytest
 from standins.job_cluster import PREFIX, request
@@ -87,3 +88,20 @@
     jobs.kill_and_restart("entry-1", "vm-1", "vm-2")
     jobs.wait_ready()
     serve_a_job(jobs, 3)
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        (b"config", b'{"version":2,"x":' + b"[" * 100_000),
+        (b"config", b'{"version":1e400}'),
+        (b"config", b'{"version":2,"limits":{"max_body_bytes":1e400}}'),
+        (b"evacuate/", b"[" * 100_000),
+        (b"unknown/key", b"\xff"),
+    ],
+)
+def test_jobs_are_served_after_an_odd_record_of_the_operator(jobs, key, value):
+    """The config was not read any more, and calls were refused with 503."""
+    jobs.append("keyed.op", key, value)
+    time.sleep(6.0)
+    serve_a_job(jobs, 1)
