--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -139,7 +139,7 @@
 
 
 def _pack(key: str, value: bytes) -> bytes:
-    raw = key.encode()
+    raw = key.encode(errors="surrogateescape")
     return struct.pack(">IB", 1 + len(raw) + len(value), len(raw)) + raw + value
 
 
@@ -149,7 +149,7 @@
     while position < len(body):
         size, key_size = struct.unpack_from(">IB", body, position)
         start = position + 5
-        key = body[start : start + key_size].decode()
+        key = body[start : start + key_size].decode(errors="surrogateescape")
         records.append(Record(key, body[start + key_size : position + 4 + size]))
         position += 4 + size
     return records
--- a/tests/platform/test_odd_writers.py
+++ b/tests/platform/test_odd_writers.py
@@ -62,6 +62,9 @@
         (b"vacated", b"1000000"),
         (b"job/%s" % job_id(9).encode(), b'{"id":"x"}'),
         (b"unknown", b"\xff"),
+        (b"\xff\xfe", b"\xff"),
+        (b"job/\xff", b"{}"),
+        (b"", b"{}"),
     ],
 )
 def test_jobs_are_served_after_an_odd_record_of_a_job(jobs, key, value):
