Refuse settings with values out of range, and read later ones

A settings file that was nested too deeply, or had a bound of 400 digits, ended the task that reloads settings with a RecursionError or an OverflowError: the process went on, and applied no later change until it was started again. A port out of range was taken, and ended the process at its start with a traceback instead of exit code 2.

Addresses, times and sizes have the bounds of protocol/bounds.py, and a file that cannot be read is refused like any other: settings_refused is logged, and the old ones stay.

--- a/src/hyssoprill/job_settings.py
+++ b/src/hyssoprill/job_settings.py
@@ -6,13 +6,13 @@
 
 from msgspec import Meta, Struct
 
+from .protocol.bounds import MAX_COUNT, HostPort, ListenAddress
 from .settings import HexKey
 
-Address = Annotated[str, Meta(pattern=r"^[^:/\s]+:\d{1,5}$")]
 VmName = Annotated[str, Meta(min_length=1, max_length=64)]
 Port = Annotated[int, Meta(ge=0, le=65535)]
-Milliseconds = Annotated[int, Meta(ge=1)]
-Seconds = Annotated[float, Meta(gt=0)]
+Milliseconds = Annotated[int, Meta(ge=1, le=MAX_COUNT)]
+Seconds = Annotated[float, Meta(gt=0, le=MAX_COUNT)]
 
 
 class StoreSettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -24,8 +24,8 @@
         Maximum size of a record.
     """
 
-    address: Address
-    record_bytes: Annotated[int, Meta(ge=1024)] = 262_144
+    address: HostPort
+    record_bytes: Annotated[int, Meta(ge=1024, le=MAX_COUNT)] = 262_144
 
 
 class JobBounds(Struct, frozen=True, forbid_unknown_fields=True):
@@ -60,8 +60,8 @@
     address: VmName
     link_port: Port
     metrics_port: Port
-    callers_address: Address
-    readiness_address: Address
+    callers_address: ListenAddress
+    readiness_address: ListenAddress
     store: StoreSettings
     bounds: JobBounds
 
@@ -82,7 +82,7 @@
     cluster_key: HexKey
     address: VmName
     metrics_port: Port
-    check_in_address: Address
+    check_in_address: ListenAddress
     max_lease_ms: Milliseconds
     store: StoreSettings
 
--- a/src/hyssoprill/settings.py
+++ b/src/hyssoprill/settings.py
@@ -10,13 +10,13 @@
 from msgspec import Meta, Struct
 
 from .errors import SettingsError
+from .protocol.bounds import LinkUrl
 
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 HexKey = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 Token = Annotated[str, Meta(min_length=16, max_length=256)]
 HttpUrl = Annotated[str, Meta(pattern=r"^http://[^/]+$")]
-LinkUrl = Annotated[str, Meta(pattern=r"^tcp://[^/]+:\d+$")]
 Settings = TypeVar("Settings", bound=Struct)
 
 
@@ -136,7 +136,7 @@
         return msgspec.json.decode(raw, type=kind)
     except msgspec.ValidationError as exc:
         raise _settings_error(str(exc)) from exc
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise SettingsError(
             f"the file is not JSON: {exc}", remedy="write one JSON object"
         ) from exc
--- a/tests/platform/test_odd_writers.py
+++ b/tests/platform/test_odd_writers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import time
 
 import pytest
@@ -108,3 +109,23 @@
     jobs.append("keyed.op", key, value)
     time.sleep(6.0)
     serve_a_job(jobs, 1)
+
+
+@pytest.mark.parametrize("odd", [b'{"x":' + b"[" * 100_000, b"1e400", b"\xff"])
+def test_settings_are_applied_after_a_file_that_cannot_be_read(jobs, odd):
+    """The reload ended with an exception, and no later settings were applied."""
+    for name in ("entry-1", "vm-1"):
+        path = jobs.settings_path(name)
+        good = path.read_bytes()
+        path.write_bytes(odd)
+        jobs.signal(name, signal.SIGHUP)
+        time.sleep(0.5)
+        path.write_bytes(good.replace(b'"6e6e', b' "6e6e'))
+        jobs.signal(name, signal.SIGHUP)
+        jobs.wait_until(
+            lambda name=name: any(
+                line["event"] == "settings_reloaded" for line in jobs.log_lines(name)
+            ),
+            4.0,
+        )
+    serve_a_job(jobs, 1)
