Decode messages between entries and agents with bounds

A report with the key of an upstream that cannot be parsed was taken, and ended the rounds of the planner with a ValueError; a number over 64 bits in an order or a report was only found as the next message with it was encoded. An agent that has not been updated yet can still send them.

Keys, run numbers, terms and amounts of messages have the types of protocol/bounds.py and protocol/upstream_key.py. A message that does not keep them is dropped and counted like one that cannot be decoded.

--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -8,8 +8,10 @@
 
 from msgspec import Struct
 
+from .bounds import Count, SignedCount
 from .job import ZERO_AMOUNTS, ResourceAmounts
 from .message import Message
+from .upstream_key import KeyText
 
 FULL_PROGRESS_PERCENT = 100
 """Progress at which a long-running task stays while it works; from PROTOCOL, "Jobs"."""
@@ -27,9 +29,9 @@
     """
 
     task: str
-    run: int
+    run: Count
     checkpoint: str
-    percent: int
+    percent: Count
 
 
 class EndReport(Struct, frozen=True, array_like=True):
@@ -45,9 +47,9 @@
         Newest checkpoint that the run has saved, '' for none.
     """
 
-    number: int
+    number: Count
     task: str
-    run: int
+    run: Count
     outcome: str
     checkpoint: str
 
@@ -80,7 +82,7 @@
         Runs of an ended incarnation that a later one may run, or may still start.
     """
 
-    key: str
+    key: KeyText
     group: str
     zone: str
     accepting: bool
@@ -88,15 +90,15 @@
     labels: list[str] = []
     running: list[RunReport] = []
     ended: list[EndReport] = []
-    closed: list[tuple[str, int]] = []
-    refused: list[tuple[str, int, str]] = []
-    stalled: list[tuple[str, int, float]] = []
-    remaining_ms: int = -1
+    closed: list[tuple[str, Count]] = []
+    refused: list[tuple[str, Count, str]] = []
+    stalled: list[tuple[str, Count, float]] = []
+    remaining_ms: SignedCount = -1
     draining: bool = False
     lease_uncertainty_s: float = 0.0
     crashed: bool = False
-    unlisted: list[tuple[str, int, bool]] = []
-    unsettled: list[tuple[str, int]] = []
+    unlisted: list[tuple[str, Count, bool]] = []
+    unsettled: list[tuple[str, Count]] = []
 
 
 class VmReport(Message):
@@ -116,9 +118,9 @@
 
     vm: str
     clock_s: float
-    number: int
+    number: Count
     upstreams: list[UpstreamReport]
-    ended_keys: list[str]
+    ended_keys: list[KeyText]
     last_reports: list[UpstreamReport] = []
 
 
@@ -139,9 +141,9 @@
 
     vm: str
     clock_s: float
-    number: int
-    term: int
-    orders_number: int
+    number: Count
+    term: Count
+    orders_number: Count
 
 
 class RunOrder(Struct, frozen=True, array_like=True):
@@ -154,7 +156,7 @@
     """
 
     task: str
-    run: int
+    run: Count
     payload: str
     checkpoint: str
 
@@ -170,10 +172,10 @@
         Ends up to this number are stored, so the upstream need not keep them.
     """
 
-    key: str
+    key: KeyText
     runs: list[RunOrder]
-    stopping: list[tuple[str, int]]
-    stored_upto: int
+    stopping: list[tuple[str, Count]]
+    stored_upto: Count
 
 
 class VmOrders(Message):
@@ -185,8 +187,8 @@
         The newest `clock_s` that the planner had from the agent.
     """
 
-    term: int
-    number: int
+    term: Count
+    number: Count
     echoed_clock_s: float
     upstreams: list[UpstreamOrders]
 
@@ -202,15 +204,15 @@
         Number of the agent's report that the planner knows; 0 for none.
     """
 
-    term: int
+    term: Count
     echoed_clock_s: float
-    report_number: int
+    report_number: Count
 
 
 class Referral(Message):
     """Names the entry that is the planner, as far as the sender knows; '' for none."""
 
-    term: int
+    term: Count
     planner: str
     link_url: str
 
@@ -227,7 +229,7 @@
 
     token: str
     code: str
-    offset: int
+    offset: Count
 
 
 __all__ = [
