--- a/tests/platform/test_odd_writers.py
+++ b/tests/platform/test_odd_writers.py
@@ -129,3 +129,12 @@
             4.0,
         )
     serve_a_job(jobs, 1)
+
+
+def test_log_lines_of_refused_calls_are_bounded(shared_jobs):
+    """A path of 60,000 characters was logged whole, which delays and cuts lines."""
+    status, _body = shared_jobs.call("entry-1", "GET", PREFIX + "a" * 60_000, key="bad")
+    assert status == 401
+    lines = shared_jobs.log_lines("entry-1")
+    assert any(line["event"] == "call_refused" for line in lines)
+    assert max(len(json.dumps(line)) for line in lines) < 1000
