--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -120,7 +120,7 @@
         """Grant renewals for an unchanged report, and resend orders that were lost."""
         if not self._update_term():
             return
-        vm = self._fleet.record_contact(message.vm, message.clock_s)
+        vm = self._fleet.record_contact(message.vm, message.clock_s, message.number)
         is_report_known = vm.report_number == message.number
         self._grant(message.vm, message.number if is_report_known else 0)
         if is_report_known:
@@ -135,9 +135,8 @@
         """
         if not self._election.may_grant:
             return
-        vm = self._fleet.vms[name]
-        vm.last_grant_s = boottime_s()
-        self._send(name, Grant(self._term, vm.agent_clock_s, known_report))
+        echo_s = self._fleet.record_grant(name)
+        self._send(name, Grant(self._term, echo_s, known_report))
 
     def _update_term(self) -> bool:
         """Adopt the current term; return whether this entry is the planner."""
