Complete tasks by runs that ended as done after they were closed

Cause: a VM out of contact goes on until its grant ends, and a run may end as done there. The planner closes it as lapsed once its leases have expired, and starts the task again. On its return the VM lists the end, but only ends of open runs counted: the planner acknowledged this one, so that the upstream forgot it, and the task was repeated in full.

A listed end as done now completes its task, unless the task is done, lasts, or its job is finished. A newer run stays open, marked by `done_run`, until it has been stopped, so that its room is not used before and a new planner stops it as well. Steps that depend on the task start at once. A gang is done by one of its tasks. Other ends of closed runs have no effect.

Tests: four of the new tests in test_planner.py fail on the code before (task repeated, next step not started, gang not completed, newer run not stopped); the three on ends without effect pass on both.

--- a/src/hyssoprill/coordination/planner/changes.py
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -13,6 +13,8 @@
 from .crashes import crashes_upstreams, record_crash
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from ...protocol.job import Step
     from ...state.job_table import JobTable, StepKey
     from .crashes import UpstreamCrash
@@ -92,10 +94,23 @@
         A gang works only once all its members have started.
         """
         tasks = self._editable_tasks(key)
-        shared = range(len(tasks)) if self._step(key).gang else (index,)
-        for one in shared:
+        for one in self._sharing_runs(key, index):
             tasks[one] = replace(tasks[one], crashed_vms=(), lone_crashes=0)
 
+    def complete_task(self, key: StepKey, index: int, run: int) -> None:
+        """Record that a run has ended as done after it was closed for another reason.
+
+        A newer run of the task stays open until its own end is known. A gang is done
+        as soon as one of its tasks is.
+        """
+        tasks = self._editable_tasks(key)
+        for one in self._sharing_runs(key, index):
+            task = tasks[one]
+            if task.phase == OPEN:
+                tasks[one] = replace(task, done_run=run)
+            else:
+                tasks[one] = TaskState(DONE, task.run)
+
     def end_run(
         self,
         key: StepKey,
@@ -127,9 +142,11 @@
         step = self._step(key)
         tasks = self._editable_tasks(key)
         task = tasks[index]
+        if task.done_run:
+            tasks[index] = TaskState(DONE, task.run, ran_ms=ran_ms)
+            return
         if outcome == "done":
-            done = range(len(tasks)) if step.gang else (index,)
-            for one in done:
+            for one in self._sharing_runs(key, index):
                 tasks[one] = TaskState(
                     DONE, tasks[one].run, ran_ms=ran_ms if one == index else 0
                 )
@@ -143,8 +160,7 @@
         suspicion = _suspicion(task, outcome, crash, is_gang=step.gang)
         is_final = has_used_attempts or crashes_upstreams(suspicion)
         tasks[index] = TaskState(FAILED if is_final else WAITING, task.run)
-        shared = range(len(tasks)) if step.gang else (index,)
-        for one in shared:
+        for one in self._sharing_runs(key, index):
             tasks[one] = replace(
                 tasks[one],
                 failures=failures,
@@ -156,6 +172,10 @@
                 last_crashed_run=suspicion.last_crashed_run,
             )
 
+    def _sharing_runs(self, key: StepKey, index: int) -> Sequence[int]:
+        """Return the tasks that run and end with a task: its gang, or itself."""
+        return range(len(self.tasks(key))) if self._step(key).gang else (index,)
+
     def _step(self, key: StepKey) -> Step:
         return self._job_table.jobs[key.job_id].job.steps[key.step]
 
--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -115,6 +115,40 @@
             (task, run, f"refused: {why}", "") for task, run, why in report.refused
         ]
         self._close_ended(changes, report.key, ends)
+        for row in report.ended:
+            if row.outcome == "done":
+                self._complete_task(changes, report.key, row.task, row.run)
+
+    def _complete_task(
+        self, changes: StepChanges, key: str, task: str, number: int
+    ) -> None:
+        """Complete a task by a run that was closed before its end was listed.
+
+        An upstream that was out of contact lists what has ended there since.
+        """
+        found = self.job_table.find_task(task)
+        if found is None:
+            return
+        step_key, index = found
+        job_state = self.job_table.jobs[step_key.job_id]
+        state = changes.task(step_key, index)
+        if (
+            state.is_done
+            or number > state.run
+            or job_state.is_finished
+            or job_state.job.steps[step_key.step].long_running
+        ):
+            return
+        changes.complete_task(step_key, index, number)
+        decision(
+            "closed_run_done",
+            task=task,
+            run=number,
+            upstream=key,
+            newest_run=state.run,
+            newest_upstream=state.upstream,
+            newest_open=state.phase == OPEN,
+        )
 
     def _close_ended(
         self, changes: StepChanges, key: str, ends: list[tuple[str, int, str, str]]
--- a/src/hyssoprill/coordination/planner/stopping.py
+++ b/src/hyssoprill/coordination/planner/stopping.py
@@ -33,8 +33,9 @@
 class StopFinder:
     """Finds open runs that have to stop.
 
-    They are runs of finished jobs and of broken gangs, runs without progress, runs on
-    draining upstreams, and runs that were yet to start where capacity has shrunk.
+    They are runs of finished jobs, of broken gangs and of tasks that are done, runs
+    without progress, runs on draining upstreams, and runs that were yet to start where
+    capacity has shrunk.
     """
 
     job_table: JobTable
@@ -59,7 +60,7 @@
                     self._withdraw_excess(report)
 
     def _stop_job(self, job_state: JobState) -> None:
-        """Request stops of all runs of a finished job, or of its broken gangs."""
+        """Request stops of runs of a finished job, a broken gang or a done task."""
         end_status = job_state.status if job_state.is_finished else ""
         for (occurrence, number), state in job_state.steps.items():
             step = job_state.job.steps[number]
@@ -70,11 +71,11 @@
             reason = end_status
             if not reason and step.gang and 0 < len(open_indices) < step.count:
                 reason = "gang broken"
-            if reason:
-                for index in open_indices:
-                    self.stopping.add(
-                        (key.task_name(index), state.tasks[index].run), reason
-                    )
+            for index in open_indices:
+                task = state.tasks[index]
+                why = "an earlier run is done" if task.done_run else reason
+                if why:
+                    self.stopping.add((key.task_name(index), task.run), why)
 
     def _stop_stalled(
         self, upstream: str, task: str, run_number: int, stalled_s: float
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -15,7 +15,7 @@
 from msgspec import Struct
 
 from ..clock import boottime_s
-from ..protocol.job import Job, Step, task_name
+from ..protocol.job import Job, Step, parse_job_id, task_name
 from .known_capacities import KnownCapacities
 
 if TYPE_CHECKING:
@@ -64,6 +64,9 @@
         Number of these crashes where no other job's task was starting.
     last_crashed_run : int
         The newest run that was counted as crashed.
+    done_run : int
+        An earlier run that has ended as done while the newest is still open; 0 for
+        none.
     """
 
     phase: int = WAITING
@@ -78,6 +81,12 @@
     crashed_vms: tuple[str, ...] = ()
     lone_crashes: int = 0
     last_crashed_run: int = 0
+    done_run: int = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether a run has ended as done, also while a newer one is being stopped."""
+        return self.phase == DONE or self.done_run > 0
 
 
 class StepState(Struct, frozen=True, array_like=True):
@@ -88,7 +97,7 @@
     @property
     def is_done(self) -> bool:
         """Whether all tasks are done."""
-        return all(task.phase == DONE for task in self.tasks)
+        return all(task.is_done for task in self.tasks)
 
 
 class Term(Struct, frozen=True):
@@ -248,6 +257,20 @@
         # Records of jobs whose own record was not read yet, by job id.
         self._orphans: dict[str, list[tuple[int, str, bytes]]] = defaultdict(list)
 
+    def find_task(self, task: str) -> tuple[StepKey, int] | None:
+        """Return step and index of a task that was started, None if there is none."""
+        job_state = self.jobs.get(parse_job_id(task))
+        try:
+            _job_id, occurrence, number, index = task.split(".")
+            place = (int(occurrence), int(number))
+            position = int(index)
+        except ValueError:
+            return None
+        state = job_state.steps.get(place) if job_state is not None else None
+        if state is None or not 0 <= position < len(state.tasks):
+            return None
+        return StepKey(job_state.job.id, *place), position
+
     @property
     def is_term_vacant(self) -> bool:
         """Whether no planner holds the newest term any more, by its own word."""
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -7,6 +7,7 @@
 from hyssoprill.coordination.planner import fleet, planner
 from hyssoprill.protocol.job import ResourceAmounts, Step
 from hyssoprill.protocol.upstream_messages import RunReport
+from hyssoprill.state.job_table import DONE
 
 ONE = ResourceAmounts(1, 1000, 1000)
 WHOLE = ResourceAmounts(8, 64_000, 262_144)
@@ -436,6 +437,144 @@
     run_scenario(scenario)
 
 
+async def begin_again_elsewhere(harness, make_agent, *steps: Step, **fields):
+    """Let the runs on a VM lapse and begin again; return the entry and both agents."""
+    entry, (silent,) = await start_planner(harness, make_agent, "vm-1")
+    await harness.submit(NAME, *steps, **fields)
+    first = await harness.wait_until(entry.ordered_runs)
+    alive = make_agent(entry, "vm-2")
+    alive.report()
+
+    def has_begun() -> bool:
+        alive.heartbeat()
+        return set(entry.ordered_runs("vm-2")) == set(first)
+
+    await harness.wait_until(has_begun)
+    assert {run for _key, run in entry.ordered_runs("vm-2").values()} == {2}
+    return entry, silent, alive
+
+
+def stopping_on(entry, agent) -> list[tuple[str, int]]:
+    orders = entry.orders(agent.vm).get(agent.key)
+    return orders.stopping if orders is not None else []
+
+
+def test_run_that_ended_out_of_contact_completes_its_task_after_it_was_closed(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 2.0)
+
+    async def scenario(harness):
+        steps = (Step(need=WHOLE), Step(need=WHOLE, after=(0,)))
+        entry, silent, alive = await begin_again_elsewhere(harness, make_agent, *steps)
+        task, following = f"{NAME}.0.0.0", f"{NAME}.0.1.0"
+        silent.end(task, 1, "done")
+        await harness.wait_until(lambda: stopping_on(entry, alive) == [(task, 2)])
+        await harness.wait_until(
+            lambda: entry.ordered_runs() == {following: (silent.key, 1)}
+        )
+        assert entry.orders("vm-1")[silent.key].stored_upto == 1
+        alive.end(task, 2, "stopped")
+        silent.end(following, 1, "done")
+        await harness.wait_until(lambda: status(entry) == "completed")
+        assert entry.ordered_runs() == {}
+        assert not entry.replica.job_table.active
+
+    run_scenario(scenario)
+
+
+def test_run_that_ended_out_of_contact_is_not_repeated_after_its_return(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 2.0)
+
+    async def scenario(harness):
+        entry, (agent,) = await start_planner(harness, make_agent, "vm-1")
+        await harness.submit(NAME, Step(need=ONE), Step(need=ONE, after=(0,)))
+        await harness.wait_until(entry.ordered_runs)
+        job = entry.replica.job_table.jobs[NAME]
+        await harness.wait_until(lambda: not job.has_open_runs)
+        agent.end(f"{NAME}.0.0.0", 1, "done")
+        await harness.wait_until(lambda: set(entry.ordered_runs()) == {f"{NAME}.0.1.0"})
+
+    run_scenario(scenario)
+
+
+def test_gang_that_ended_out_of_contact_is_done_by_one_of_its_tasks(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 2.0)
+
+    async def scenario(harness):
+        gang = Step(count=2, need=ONE, gang=True)
+        entry, silent, alive = await begin_again_elsewhere(harness, make_agent, gang)
+        silent.end(f"{NAME}.0.0.1", 1, "done")
+        await harness.wait_until(lambda: status(entry) == "completed")
+        runs = [(f"{NAME}.0.0.{index}", 2) for index in range(2)]
+        await harness.wait_until(lambda: stopping_on(entry, alive) == runs)
+        for task, run in runs:
+            alive.end(task, run, "stopped")
+        await harness.wait_until(lambda: not entry.replica.job_table.active)
+        assert status(entry) == "completed"
+
+    run_scenario(scenario)
+
+
+def test_next_planner_stops_the_newer_run_of_a_task_that_is_done(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 2.0)
+
+    async def scenario(harness):
+        steps = (Step(need=ONE), Step(need=ONE, after=(0,)))
+        entry, silent, alive = await begin_again_elsewhere(harness, make_agent, *steps)
+        task = f"{NAME}.0.0.0"
+        silent.end(task, 1, "done")
+        await harness.wait_until(lambda: stopping_on(entry, alive))
+        await entry.stop()
+        second = harness.entry("entry-2")
+        await harness.wait_until(lambda: second.election.term)
+        alive.entry = second
+        alive.report()
+        await harness.wait_until(lambda: stopping_on(second, alive) == [(task, 2)])
+        alive.end(task, 2, "failed")
+        job = second.replica.job_table.jobs[NAME]
+        await harness.wait_until(lambda: job.steps[0, 0].tasks[0].phase == DONE)
+        assert task not in second.ordered_runs()
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("step", "outcome"),
+    [
+        (Step(need=ONE), "failed"),
+        (Step(need=ONE), "lapsed"),
+        (Step(need=ONE, long_running=True), "done"),
+    ],
+)
+def test_end_of_a_closed_run_that_completes_nothing_leaves_the_newer_run(
+    run_scenario, make_agent, monkeypatch, step, outcome
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 2.0)
+
+    async def scenario(harness):
+        entry, silent, alive = await begin_again_elsewhere(
+            harness, make_agent, step, max_attempts=1
+        )
+        task = f"{NAME}.0.0.0"
+        silent.end(task, 1, outcome)
+        await harness.wait_until(
+            lambda: entry.orders("vm-1")[silent.key].stored_upto == 1
+        )
+        alive.report()
+        await asyncio.sleep(0.3)
+        assert ordered(entry, task) == (alive.key, 2)
+        assert status(entry) == "running"
+
+    run_scenario(scenario)
+
+
 def test_sizes_of_upstreams_are_stored_once_for_all_entries(run_scenario, make_agent):
     async def scenario(harness):
         entry = harness.entry("a")
