--- a/src/hyssoprill/protocol/bounds.py
+++ b/src/hyssoprill/protocol/bounds.py
@@ -15,6 +15,7 @@
 MAX_UNIX_MS = 4_102_444_800_000
 """Latest time of an event that has happened: the beginning of the year 2100."""
 MAX_TEXT_LENGTH = 256
+MAX_CHECKPOINT_LENGTH = 4096
 
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 SignedCount = Annotated[int, Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
@@ -22,6 +23,7 @@
 Quantity = Annotated[float, Meta(ge=0, le=MAX_COUNT)]
 SignedQuantity = Annotated[float, Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 Text = Annotated[str, Meta(max_length=MAX_TEXT_LENGTH)]
+Checkpoint = Annotated[str, Meta(max_length=MAX_CHECKPOINT_LENGTH)]
 Name = Annotated[str, Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
 
 _LABEL = r"[A-Za-z0-9_-]{1,63}"
@@ -43,8 +45,10 @@
 """Printable ASCII without `|`, as it is part of header fields and of upstream keys."""
 
 __all__ = [
+    "MAX_CHECKPOINT_LENGTH",
     "MAX_COUNT",
     "MAX_TEXT_LENGTH",
+    "Checkpoint",
     "Count",
     "HostPort",
     "LinkUrl",
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -16,7 +16,7 @@
 from ..clock import boottime_s
 from ..logs import decision
 from ..protocol.bounds import MAX_TEXT_LENGTH, Count, Text
-from ..protocol.job import Job, Step
+from ..protocol.job import Job, Step, parse_job_id
 from .known_capacities import KnownCapacities
 from .step_state import (
     DONE,
@@ -182,6 +182,20 @@
         # Records of jobs whose own record was not read yet, by job id.
         self._orphans: dict[str, list[tuple[int, str, bytes]]] = defaultdict(list)
 
+    def find_task(self, task: str) -> tuple[StepKey, int] | None:
+        """Return step and index of a task that was started, None if there is none."""
+        job_state = self.jobs.get(parse_job_id(task))
+        try:
+            _job_id, occurrence, number, index = task.split(".")
+            place = (int(occurrence), int(number))
+            position = int(index)
+        except ValueError:
+            return None
+        state = job_state.steps.get(place) if job_state is not None else None
+        if state is None or not 0 <= position < len(state.tasks):
+            return None
+        return StepKey(job_state.job.id, *place), position
+
     @property
     def is_term_vacant(self) -> bool:
         """Whether no planner holds the newest term any more, by its own word."""
@@ -269,17 +283,6 @@
                 self.open_runs[task.upstream][key.task_name(index)] = run
         job_state.steps[key[1:]] = state
 
-    def find_task(self, name: str) -> tuple[StepKey, int] | None:
-        """Return the step and index of a task by its name, None if it is not known."""
-        try:
-            job_id, *numbers = name.split(".")
-            occurrence, number, index = map(int, numbers)
-            step = self.jobs[job_id].job.steps[number]
-        except (ValueError, KeyError, IndexError):
-            return None
-        key = StepKey(job_id, occurrence, number)
-        return (key, index) if 0 <= index < step.count else None
-
     def _update_active(self, job_state: JobState) -> None:
         """Keep a job in `active` while it may start tasks or has open runs."""
         if job_state.is_finished and not job_state.has_open_runs:
--- a/src/hyssoprill/state/step_state.py
+++ b/src/hyssoprill/state/step_state.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from ..protocol.bounds import Count, SignedCount, Text
+from ..protocol.bounds import Checkpoint, Count, SignedCount, Text
 from ..protocol.job import task_name
 from ..protocol.upstream_key import OptionalKeyText
 
@@ -50,20 +50,29 @@
         Number of these crashes where no other job's task was starting.
     last_crashed_run : int
         The newest run that was counted as crashed.
+    done_run : int
+        An earlier run that has ended as done while the newest is still open; 0 for
+        none.
     """
 
     phase: Annotated[int, Meta(ge=WAITING, le=FAILED)] = WAITING
     run: Count = 0
     upstream: OptionalKeyText = ""
     failures: Count = 0
-    checkpoint: Text = ""
+    checkpoint: Checkpoint = ""
     last_failed_run: Count = 0
     started_ms: SignedCount = 0
-    newer_checkpoint: Text = ""
+    newer_checkpoint: Checkpoint = ""
     ran_ms: SignedCount = 0
     crashed_vms: tuple[Text, ...] = ()
     lone_crashes: Count = 0
     last_crashed_run: Count = 0
+    done_run: Count = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether a run has ended as done, also while a newer one is being stopped."""
+        return self.phase == DONE or self.done_run > 0
 
 
 class StepState(Struct, frozen=True, array_like=True):
@@ -74,7 +83,7 @@
     @property
     def is_done(self) -> bool:
         """Whether all tasks are done."""
-        return all(task.phase == DONE for task in self.tasks)
+        return all(task.is_done for task in self.tasks)
 
 
 class StepKey(NamedTuple):
