--- a/tests/coordination/planner/test_run_machine.py
+++ b/tests/coordination/planner/test_run_machine.py
@@ -196,6 +196,7 @@
         self.orders: dict[str, VmOrders] = {}
         self.delayed: list[DelayedStart] = []
         self.granted_s: dict[str, float] = {}
+        self.restarted_agents: set[str] = set()
         self.jobs: dict[str, Job] = {}
         self.cancelled_at: dict[str, int] = {}
         self.failures: dict[str, int] = defaultdict(int)
@@ -442,14 +443,25 @@
                 vm,
                 self.now_s,
                 self.report_numbers[vm],
-                [listed],
+                [] if vm in self.restarted_agents else [listed],
                 ended_keys,
                 last_reports,
             )
         )
-        if self.granted_s.get(vm) == self.now_s:
-            lease_s = GRANT_TTL_S * (1 + MAX_CLOCK_DRIFT)
-            upstream.lease_s = max(upstream.lease_s, self.now_s + lease_s)
+        self.restarted_agents.discard(vm)
+        if vm in self.granted_s:
+            self._extend_lease(vm, self.granted_s[vm])
+
+    def _extend_lease(self, vm: str, echoed_clock_s: float) -> None:
+        """Extend the lease as far as a message from a planner allows it."""
+        upstream = self.upstreams[vm]
+        lease_s = GRANT_TTL_S * (1 + MAX_CLOCK_DRIFT)
+        upstream.lease_s = max(upstream.lease_s, echoed_clock_s + lease_s)
+
+    @rule(vm=st.sampled_from(VMS))
+    def restart_agent(self, vm: str) -> None:
+        """Have the agent report once before its upstream has checked in again."""
+        self.restarted_agents.add(vm)
 
     def _last_state(
         self, upstream: ModelUpstream
@@ -505,6 +517,7 @@
         ):
             return
         self.orders[vm] = message
+        self._extend_lease(vm, message.echoed_clock_s)
         self._execute_orders(vm, message, delayed)
 
     def _execute_orders(self, vm: str, message: VmOrders, delayed: bool) -> None:
