Test late starts where ids alternate at one address

An upstream of another id runs at the address between two incarnations of one id; the second stops the late starts of the first.

--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -996,6 +996,24 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("end", ENDINGS)
+def test_late_start_has_no_effect_when_ids_alternate_at_an_address(monkeypatch, end):
+    monkeypatch.setattr(departure, "MAX_CHECK_IN_AGE_S", 0.1)
+
+    async def scenario(harness, agent):
+        entry = await start_without_answer(harness, agent)
+        end(harness, agent)
+        assert agent.handle_check_in(check_in(id="i-2", started_ms=200))
+        await harness.wait_until(lambda: entry.reports[-1].upstreams)
+        assert harness.later.stopped == set()
+        assert agent.handle_check_in(check_in(started_ms=300))
+        await harness.wait_until(lambda: harness.later.stopped == {(TASK, 1)})
+        harness.later.execute_late_starts(harness.upstream)
+        assert harness.later.running == {}
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("end", [drain_and_remove, drain_and_stop_listening])
 def test_run_of_an_upstream_that_has_left_is_unsettled_while_its_start_may_be_late(
     monkeypatch, end
