Run a background loop again after an exception that nobody expects

Such an exception ended the loop, and its process went on without it: an entry that kept its term and planned nothing, or refused every call with an old config; an agent that sent no reports; a session that renewed no lease. Nothing was logged until the process ended, as nobody retrieved the exception.

Entries, agents, sessions, links and the reload of settings use it. Where a loop had taken a step before it failed, that step is settled: the replica reads a page again and the record that broke it off counts as applied; a batch of jobs is answered as in doubt; a start counts as unanswered; a config that cannot be built is refused.

--- a/src/hyssoprill/coordination/intake/intake.py
+++ b/src/hyssoprill/coordination/intake/intake.py
@@ -60,10 +60,10 @@
     async def run(self) -> None:
         """Append queued records until cancelled, as many in one call as fit."""
         while True:
-            await self._wake.wait()
-            self._wake.clear()
             while self._queued:
                 await self._append(self._take_batch())
+            await self._wake.wait()
+            self._wake.clear()
 
     def _take_batch(self) -> list[tuple[Record, asyncio.Future[None]]]:
         """Remove and return the oldest queued records that fit into one append."""
@@ -204,10 +204,13 @@
         records = [record for record, _fut in batch]
         try:
             offset = await self._append_or_relay(records)
+            self._replica.apply_appended(offset, records)
         except StoreError as exc:
             _fail_batch(batch, exc)
             return
-        self._replica.apply_appended(offset, records)
+        except Exception:
+            _fail_batch(batch, StoreInDoubtError("the append failed unexpectedly"))
+            raise
         for _record, fut in batch:
             if not fut.done():
                 fut.set_result(None)
--- a/src/hyssoprill/coordination/intake/operator_config_watcher.py
+++ b/src/hyssoprill/coordination/intake/operator_config_watcher.py
@@ -102,8 +102,8 @@
     def _rebuild_config(self) -> None:
         try:
             config = self._build_config(self._records)
-        except ValueError as exc:
-            decision("directory_refused", why=str(exc), version=self.current.version)
+        except Exception as exc:  # noqa: BLE001 - the next config may be readable
+            decision("directory_refused", why=repr(exc), version=self.current.version)
             return
         if config.version < self.current.version:
             decision("directory_refused", why="older", version=config.version)
--- a/src/hyssoprill/coordination/intake/service.py
+++ b/src/hyssoprill/coordination/intake/service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import TYPE_CHECKING, Self
 
 from ...errors import StoreError
@@ -128,16 +128,16 @@
             self._send,
             bounds=self._bounds,
         )
-        for work in (
-            self.replica.run(),
-            self.config_watcher.run(),
-            self.intake.run(),
-            self.election.run(),
-            self._planner.run(),
-            self._publish_address(),
-            self._entry_watcher.run(),
+        for name, loop in (
+            ("replica", self.replica.run),
+            ("config", self.config_watcher.run),
+            ("intake", self.intake.run),
+            ("election", self.election.run),
+            ("planner", self._planner.run),
+            ("announcement", self._publish_address),
+            ("entry_list", self._entry_watcher.run),
         ):
-            self._tasks.spawn(work)
+            self._tasks.supervise(name, loop)
         return self
 
     async def __aexit__(self, *_exc_info: object) -> None:
@@ -235,7 +235,7 @@
         if queue is None:
             queue = asyncio.Queue(MAX_PENDING_SENDS)
             self._send_queues[peer] = queue
-            self._tasks.spawn(self._send_queued(peer, queue))
+            self._tasks.supervise("sender", partial(self._send_queued, peer, queue))
         try:
             queue.put_nowait(message)
         except asyncio.QueueFull:
--- a/src/hyssoprill/coordination/planner/replica.py
+++ b/src/hyssoprill/coordination/planner/replica.py
@@ -88,10 +88,12 @@
             await asyncio.sleep(RETRY_DELAY_S)
             return
         self._record_reachability(True, "")
+        # Read again if a record breaks off the rest; it then counts as applied.
+        changed = self._apply(page.records)
         self.end = max(self.end or 0, page.next_offset)
         if page.next_offset >= page.end_offset:
             self.current_as_of_s = max(self.current_as_of_s, began_s)
-        if self._apply(page.records):
+        if changed:
             self._on_change()
 
     def apply_appended(self, offset: int, records: Iterable[Record]) -> None:
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from ...clock import boottime_s
@@ -103,7 +104,7 @@
         self._listing: RunListing | None = None
         self._listing_sent_s = float("-inf")
         self._tasks = TaskSet()
-        self._tasks.spawn(self._renew_loop())
+        self._tasks.supervise("lease_renewals", self._renew_loop)
         for run in inherited:
             self._call(run, "stop", self._stop)
 
@@ -224,7 +225,7 @@
             if current[0] == kind:
                 return
             current[1].cancel()
-        task = self._tasks.spawn(work(key, *args))
+        task = self._tasks.supervise(f"{kind}_calls", partial(work, key, *args))
         self._calls[key] = (kind, task)
         task.add_done_callback(lambda done: self._call_ended(key, done))
 
@@ -270,6 +271,10 @@
                 self.start_calls.record_not_started(key)
                 self._end_incarnation("another incarnation answered a start")
                 return
+            except Exception:
+                self.start_calls.record_unanswered(key, broken_off=False)
+                self._record_unanswered_call(sent_s, lease_s)
+                raise
             if answer.accepted:
                 self.start_calls.record_accepted(key)
                 self._started.add(key)
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -122,8 +122,8 @@
         self._hub = await self._stack.enter_async_context(
             LinkHub(codec, self._receive, self.metrics)
         )
-        for work in (self._entries.run(), self._report_loop()):
-            self._tasks.spawn(work)
+        self._tasks.supervise("entry_list", self._entries.run)
+        self._tasks.supervise("reports", self._report_loop)
         return self
 
     async def __aexit__(self, *_exc_info: object) -> None:
--- a/src/hyssoprill/transport/link.py
+++ b/src/hyssoprill/transport/link.py
@@ -10,12 +10,13 @@
 import asyncio
 import time
 from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING, Self
 
 import pynng
 
 from ..errors import FrameError
-from ..tasks import cancel_all
+from ..tasks import TaskSet
 from .frame import MAX_FRAME_BYTES, FrameCodec
 
 if TYPE_CHECKING:
@@ -53,7 +54,7 @@
         self._inbound: dict[str, pynng.Pipe] = {}
         self._dialled: dict[str, _DialledLink] = {}
         self._queues: dict[str, asyncio.Queue[Envelope]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
 
     async def __aenter__(self) -> Self:
         return self
@@ -61,7 +62,7 @@
     async def __aexit__(self, *_exc_info: object) -> None:
         for link in list(self._dialled.values()):
             link.close()
-        await cancel_all(self._tasks)
+        await self._tasks.close()
         if self._listener is not None:
             self._listener.close()
 
@@ -75,7 +76,8 @@
         )
         listener = self._listener.listen(f"tcp://{address}:{port}")
         bound = listener.local_address
-        self._spawn(self._receive_inbound(self._listener))
+        receive = partial(self._receive_inbound, self._listener)
+        self._tasks.supervise("link_listener", receive)
         return f"tcp://{address}:{_bound_port(bound)}"
 
     def dial(self, name: str, url: str) -> None:
@@ -87,7 +89,7 @@
             self.hang_up(name)
         link = _DialledLink(name, url)
         self._dialled[name] = link
-        self._spawn(self._maintain_link(link))
+        self._tasks.supervise("link", partial(self._maintain_link, link))
 
     def hang_up(self, name: str) -> None:
         """Close a dialled link and stop redialling it."""
@@ -128,11 +130,6 @@
         pipe = self._inbound.get(name)
         return pipe is not None and await _send_with_timeout(pipe, frame)
 
-    def _spawn(self, coroutine: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _receive_inbound(self, socket: pynng.Pair1) -> None:
         while True:
             try:
@@ -190,7 +187,7 @@
         if queue is None:
             queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
             self._queues[envelope.sender] = queue
-            self._spawn(self._serve_peer(queue))
+            self._tasks.supervise("link_peer", partial(self._serve_peer, queue))
         try:
             queue.put_nowait(envelope)
         except asyncio.QueueFull:
