Give up the term when the planner or the election of an entry fails

An entry whose planner had failed kept its term: it was run again each time, or not at all, while other entries waited for a term that did not end, and no job was started.

The entry stores that it resigns, steps down, and does not claim the term for 3 s, so that another entry takes it first; where there is none, it plans again after that.

--- a/src/hyssoprill/coordination/intake/service.py
+++ b/src/hyssoprill/coordination/intake/service.py
@@ -132,12 +132,16 @@
             ("replica", self.replica.run),
             ("config", self.config_watcher.run),
             ("intake", self.intake.run),
-            ("election", self.election.run),
-            ("planner", self._planner.run),
             ("announcement", self._publish_address),
             ("entry_list", self._entry_watcher.run),
         ):
             self._tasks.supervise(name, loop)
+        # Another entry plans while this one cannot.
+        for name, loop in (
+            ("election", self.election.run),
+            ("planner", self._planner.run),
+        ):
+            self._tasks.supervise(name, loop, self.election.give_up)
         return self
 
     async def __aexit__(self, *_exc_info: object) -> None:
--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -41,6 +41,8 @@
 call without an answer is repeated."""
 HAND_OVER_TIMEOUT_S = 0.2
 """A peer that reaches the store answers within this time."""
+CLAIM_PAUSE_S = 3.0
+"""An entry whose planner failed leaves the claim to others for this long."""
 CHECK_INTERVAL_S = 0.1
 APPEND_RETRY_S = 0.1
 
@@ -81,6 +83,7 @@
         self._last_stored_s = float("-inf")
         self._append_lock = asyncio.Lock()
         self._tried_in_outage_s = 0.0
+        self._may_claim_from_s = float("-inf")
         self.resigning = False
 
     @property
@@ -126,6 +129,16 @@
     async def resign(self) -> None:
         """Resign the term, so that another entry can claim it at once."""
         self.resigning = True
+        await self._leave_term("resigned")
+
+    async def give_up(self) -> None:
+        """Leave the term to another entry, which may not fail where this one did."""
+        if not self._term:
+            return
+        self._may_claim_from_s = boottime_s() + CLAIM_PAUSE_S
+        await self._leave_term("the planner failed")
+
+    async def _leave_term(self, reason: str) -> None:
         if not self._term:
             return
         try:
@@ -133,7 +146,8 @@
                 await self.append([self._term_record(resigned=True)])
         except (StoreError, TimeoutError) as exc:
             decision("resignation_unsure", term=self._term, why=str(exc))
-        self._step_down("resigned")
+        finally:
+            self._step_down(reason)
 
     async def _append(self, records: Sequence[Record]) -> None:
         """Append with a new sequence number, retried under the same one."""
@@ -198,7 +212,9 @@
         succeeded at once.
         """
         replica = self._replica
-        if self.resigning or replica.end is None or replica.age_s > CLAIM_AFTER_S:
+        if self.resigning or boottime_s() < self._may_claim_from_s:
+            return False
+        if replica.end is None or replica.age_s > CLAIM_AFTER_S:
             return False
         current = replica.job_table.term
         if current is None or replica.job_table.is_term_vacant:
--- a/tests/coordination/test_loops.py
+++ b/tests/coordination/test_loops.py
@@ -10,7 +10,7 @@
 
 from hyssoprill.clock import boottime_s
 from hyssoprill.coordination.intake.service import DurableJobService
-from hyssoprill.coordination.planner.election import GRANT_WINDOW_S
+from hyssoprill.coordination.planner.election import CLAIM_PAUSE_S, GRANT_WINDOW_S
 from hyssoprill.coordination.planner.fleet import MAX_SILENCE_S
 from hyssoprill.coordination.upstream.vm_agent import VmAgent
 from hyssoprill.errors import StoreInDoubtError
@@ -316,3 +316,39 @@
             assert fault.hits
 
     asyncio.run(main())
+
+
+def test_entry_whose_planner_fails_gives_up_the_term_to_another():
+    """It kept the term, and no entry planned anything any more."""
+
+    async def main() -> None:
+        store, upstream = MemoryStore(), FakeUpstream()
+        async with (
+            make_service(store, "entry-1") as first,
+            make_agent(store, upstream) as agent,
+        ):
+            agent.handle_check_in(check_in())
+            await wait_until(lambda: first.election.term)
+
+            async def fail() -> None:
+                raise RuntimeError("unexpected")
+
+            first._planner.run_round = fail
+            async with make_service(store, "entry-2") as second:
+                await wait_until(lambda: second.election.term, 3.0)
+                assert not first.election.term
+                await assert_serves(first, upstream)
+                assert second.election.term
+
+    asyncio.run(main())
+
+
+def test_only_entry_plans_again_after_its_planner_has_failed():
+    async def scenario(_store, service, _agent, upstream):
+        fault = Fault(service._planner, "run_round")
+        began_s = await wait_until(lambda: fault.hits and boottime_s())
+        await wait_until(lambda: not service.election.term)
+        await assert_serves(service, upstream)
+        assert boottime_s() - began_s > CLAIM_PAUSE_S
+
+    run_system(scenario)
