Set aside the job or upstream that breaks a round of the planner

One job or one upstream with which a step of the round failed unexpectedly ended the round of each planner in turn, so that no job was started, stopped or completed.

Each step of a round goes through jobs and upstreams one by one, and logs task_failed and goes on where one of them fails. Where the policy fails, which weighs all steps together, the steps with which it fails are found by halving, and it decides on the others.

--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -11,6 +11,7 @@
 from .crashes import crashes_upstreams, find_crashes
 from .policy_inputs import rack_of
 from .runs import elapsed_s
+from .set_aside import set_aside
 
 if TYPE_CHECKING:
     from ...protocol.job import Step
@@ -54,12 +55,14 @@
         """
         highest_numbers = {}
         for report in self.fleet.reports():
-            self._close_reported_by(report, changes)
-            numbers = [row.number for row in report.ended]
-            if numbers:
-                highest_numbers[report.key] = max(numbers)
+            with set_aside("upstream", report.key):
+                self._close_reported_by(report, changes)
+                numbers = [row.number for row in report.ended]
+                if numbers:
+                    highest_numbers[report.key] = max(numbers)
         for report in self.fleet.last_reports():
-            self._close_reported_by(report, changes)
+            with set_aside("upstream", report.key):
+                self._close_reported_by(report, changes)
         return highest_numbers
 
     def close_expired(self, changes: StepChanges) -> None:
@@ -68,21 +71,24 @@
         Runs that a later incarnation may execute stay open until they are settled.
         """
         for key, runs in self.job_table.open_runs.items():
-            reason = self.fleet.end_reason(key) if runs else ""
-            if not reason:
+            with set_aside("upstream", key):
+                reason = self.fleet.end_reason(key) if runs else ""
+                if reason:
+                    self._close_runs(changes, key, runs, reason)
+
+    def _close_runs(
+        self, changes: StepChanges, key: str, runs: dict[str, OpenRun], reason: str
+    ) -> None:
+        if reason == "lapsed":
+            evidence = self.fleet.lease_evidence(key)
+            decision("leases_expired", upstream=key, runs=len(runs), **evidence)
+        crashes = find_crashes(self.fleet.find(key), runs)
+        unsettled = self.fleet.unsettled_runs(key)
+        for task, run in runs.items():
+            if (task, run.run) in unsettled:
                 continue
-            if reason == "lapsed":
-                evidence = self.fleet.lease_evidence(key)
-                decision("leases_expired", upstream=key, runs=len(runs), **evidence)
-            crashes = find_crashes(self.fleet.find(key), runs)
-            unsettled = self.fleet.unsettled_runs(key)
-            for task, run in runs.items():
-                if (task, run.run) in unsettled:
-                    continue
-                checkpoint = self.fleet.latest_checkpoint(key, task, run.run)
-                self._close(
-                    changes, key, task, run, reason, checkpoint, crashes.get(task)
-                )
+            checkpoint = self.fleet.latest_checkpoint(key, task, run.run)
+            self._close(changes, key, task, run, reason, checkpoint, crashes.get(task))
 
     def record_checkpoints(self, changes: StepChanges) -> None:
         """Record checkpoints and survived starts, every `CHECKPOINT_INTERVAL_S`."""
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -15,6 +15,7 @@
 from ...protocol.upstream_key import parse_upstream_key
 from ...protocol.upstream_messages import Grant, Referral
 from ...state.job_table import SIZES_KEY
+from ...tasks import log_failure
 from ..policy.dispatch.dispatch import plan_round
 from .changes import StepChanges
 from .closing import RunCloser
@@ -25,17 +26,18 @@
 from .retention import expired_records
 from .run_times import RunTimes
 from .runs import StopRequests
+from .set_aside import find_breaking
 from .speeds import SpeedEstimates
 from .stopping import StopFinder
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from ...job_settings import JobBounds
     from ...protocol.upstream_messages import VmHeartbeat, VmReport
     from ...state.job_table import StepKey
     from ...state.operator_config import OperatorConfig
-    from ..policy.dispatch.model import Plan
+    from ..policy.dispatch.model import Plan, WaitingStep
     from .election import PlannerElection
     from .orders import Send
     from .replica import Replica
@@ -46,6 +48,7 @@
 A round that is requested starts without waiting for it."""
 MIN_ROUND_INTERVAL_S = 0.01
 DROP_INTERVAL_S = 5.0
+MAX_LOGGED_STEPS = 8
 
 
 class Planner:
@@ -224,7 +227,22 @@
 
     def _plan_starts(self, changes: StepChanges) -> None:
         """Run the policy, record its starts in `changes` and request its stops."""
-        inputs = PolicyInputs(
+        inputs = self._policy_inputs()
+        waiting = inputs.waiting_steps(unix_ms())
+        if not waiting or not self._fleet.is_settled(self._vms_with_runs):
+            return
+        waited_s = {step.key: step.waited_s for step in waiting}
+        plan = self._run_policy(inputs, waiting)
+        for unit, reason in plan.stops:
+            tasks = changes.tasks(unit.step)
+            for index in unit.indices:
+                self._stopping.add(
+                    (unit.step.task_name(index), tasks[index].run), reason
+                )
+        self._record_starts(plan, changes, waited_s)
+
+    def _policy_inputs(self) -> PolicyInputs:
+        return PolicyInputs(
             self._job_table,
             self._fleet,
             self._operator_config(),
@@ -234,23 +252,33 @@
             self._run_times,
             self._waiting_since_s,
         )
-        waiting = inputs.waiting_steps(unix_ms())
-        if not waiting or not self._fleet.is_settled(self._vms_with_runs):
-            return
-        waited_s = {step.key: step.waited_s for step in waiting}
-        plan = self._policy(
+
+    def _run_policy(self, inputs: PolicyInputs, waiting: list[WaitingStep]) -> Plan:
+        """Run the policy, without the steps with which it fails."""
+        try:
+            return self._decide(inputs, waiting)
+        except Exception as exc:  # noqa: BLE001 - see `find_breaking`
+            keys = list(dict.fromkeys(step.key for step in waiting))
+
+            def decide(some: Sequence[StepKey]) -> Plan:
+                # The policy changes its inputs, so that each run needs new ones.
+                steps = inputs.waiting_steps(unix_ms())
+                return self._decide(inputs, [one for one in steps if one.key in some])
+
+            breaking = find_breaking(keys, decide)
+            if not breaking:
+                raise
+            names = [key.record_key for key in breaking[:MAX_LOGGED_STEPS]]
+            log_failure(f"round of steps {names}", exc)
+            return decide([key for key in keys if key not in breaking])
+
+    def _decide(self, inputs: PolicyInputs, waiting: list[WaitingStep]) -> Plan:
+        return self._policy(
             waiting,
             inputs.upstream_views(),
             inputs.running_units(),
             reclaim_s=self._reclaim_s,
         )
-        for unit, reason in plan.stops:
-            tasks = changes.tasks(unit.step)
-            for index in unit.indices:
-                self._stopping.add(
-                    (unit.step.task_name(index), tasks[index].run), reason
-                )
-        self._record_starts(plan, changes, waited_s)
 
     def _vms_with_runs(self) -> set[str]:
         """Return the VMs of all upstreams with open runs."""
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -18,6 +18,7 @@
 )
 from .failures import EXCLUDE_AT_FAILURES
 from .runs import elapsed_s
+from .set_aside import set_aside
 
 if TYPE_CHECKING:
     from ...protocol.job import ResourceAmounts, Step
@@ -78,8 +79,9 @@
                     or report.zone in self.operator_config.zones_out
                 ):
                     continue
-                recent_failures = self.failures.recent_failures(report.key, now_s)
-                views.append(self._upstream_view(report, recent_failures))
+                with set_aside("upstream", report.key):
+                    recent_failures = self.failures.recent_failures(report.key, now_s)
+                    views.append(self._upstream_view(report, recent_failures))
         return [one for one in views if one.penalty < EXCLUDE_AT_FAILURES] or views
 
     def _upstream_view(
@@ -133,28 +135,33 @@
 
     def waiting_steps(self, now_ms: int) -> list[WaitingStep]:
         """Return the ready steps with tasks to place, and update `waiting_since_s`."""
+        found: list[WaitingStep] = []
+        for job_state in self.job_table.active.values():
+            with set_aside("job", job_state.job.id):
+                if not job_state.is_finished:
+                    found += self._waiting_steps_of(job_state, now_ms)
+        return found
+
+    def _waiting_steps_of(self, job_state: JobState, now_ms: int) -> list[WaitingStep]:
         now_s = boottime_s()
         found = []
-        for job_state in self.job_table.active.values():
-            if job_state.is_finished:
+        for occurrence, number, step in job_state.ready_steps(now_ms):
+            key = StepKey(job_state.job.id, occurrence, number)
+            state = job_state.step_state(occurrence, number)
+            indices = _waiting_indices(step, state)
+            if not indices:
+                self.waiting_since_s.pop(key, None)
                 continue
-            for occurrence, number, step in job_state.ready_steps(now_ms):
-                key = StepKey(job_state.job.id, occurrence, number)
-                state = job_state.step_state(occurrence, number)
-                indices = _waiting_indices(step, state)
-                if not indices:
-                    self.waiting_since_s.pop(key, None)
-                    continue
-                if self.failures.is_backing_off(key, now_s):
-                    continue
-                since_s = self.waiting_since_s.setdefault(key, now_s)
-                counts = _count_tasks_per_upstream(state)
-                found += [
-                    self._waiting_step(
-                        job_state, key, group, counts, now_s - since_s, now_ms
-                    )
-                    for group in _split_suspects(step, state, indices)
-                ]
+            if self.failures.is_backing_off(key, now_s):
+                continue
+            since_s = self.waiting_since_s.setdefault(key, now_s)
+            counts = _count_tasks_per_upstream(state)
+            found += [
+                self._waiting_step(
+                    job_state, key, group, counts, now_s - since_s, now_ms
+                )
+                for group in _split_suspects(step, state, indices)
+            ]
         return found
 
     def _waiting_step(
@@ -198,10 +205,11 @@
         """Return the running units that may be preempted and are not being stopped."""
         units = []
         for job_state in self.job_table.active.values():
-            for (occurrence, number), state in job_state.steps.items():
-                key = StepKey(job_state.job.id, occurrence, number)
-                step = job_state.job.steps[number]
-                units += self._running_units_of(job_state, key, step, state)
+            with set_aside("job", job_state.job.id):
+                for (occurrence, number), state in job_state.steps.items():
+                    key = StepKey(job_state.job.id, occurrence, number)
+                    step = job_state.job.steps[number]
+                    units += self._running_units_of(job_state, key, step, state)
         return units
 
     def _running_units_of(
--- a/src/hyssoprill/coordination/planner/run_times.py
+++ b/src/hyssoprill/coordination/planner/run_times.py
@@ -8,6 +8,7 @@
 from ...state.job_table import DONE
 from ..policy.dispatch.run_time_model import RunTimeModel, estimate_remaining_s
 from .runs import elapsed_s
+from .set_aside import set_aside
 
 if TYPE_CHECKING:
     from ...protocol.job import Job, Step
@@ -31,11 +32,15 @@
         """Learn again from the jobs in the job table, at the start of a term."""
         self.model.clear()
         for job_state in self.job_table.jobs.values():
-            for (_occurrence, number), state in job_state.steps.items():
-                step = job_state.job.steps[number]
-                for task in state.tasks:
-                    if task.phase == DONE and task.ran_ms:
-                        self.record_run(job_state.job, step, task.ran_ms / 1000)
+            with set_aside("job", job_state.job.id):
+                self._record_runs(job_state)
+
+    def _record_runs(self, job_state: JobState) -> None:
+        for (_occurrence, number), state in job_state.steps.items():
+            step = job_state.job.steps[number]
+            for task in state.tasks:
+                if task.phase == DONE and task.ran_ms:
+                    self.record_run(job_state.job, step, task.ran_ms / 1000)
 
     def record_run(self, job: Job, step: Step, ran_s: float) -> None:
         """Record a run that was done and not slowed by its placement."""
--- a/src/hyssoprill/coordination/planner/stopping.py
+++ b/src/hyssoprill/coordination/planner/stopping.py
@@ -11,6 +11,7 @@
 from ..policy.dispatch.draining import should_migrate
 from ..policy.dispatch.stalled_runs import should_restart
 from .runs import elapsed_s
+from .set_aside import set_aside
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -46,17 +47,21 @@
     def request_stops(self) -> None:
         """Request a stop of each run that has to stop now."""
         for job_state in list(self.job_table.active.values()):
-            self._stop_job(job_state)
+            with set_aside("job", job_state.job.id):
+                self._stop_job(job_state)
         for vm in self.fleet.vms.values():
             for report in vm.upstreams.values():
-                for task, number, since_s in report.stalled:
-                    self._stop_stalled(
-                        report.key, task, number, vm.agent_clock_s - since_s
-                    )
-                if report.draining:
-                    self._stop_draining(report.key, report.remaining_ms / 1000)
-                if report.accepting:
-                    self._withdraw_excess(report)
+                with set_aside("upstream", report.key):
+                    self._stop_on_upstream(report, vm.agent_clock_s)
+
+    def _stop_on_upstream(self, report: UpstreamReport, agent_clock_s: float) -> None:
+        """Request stops of runs that are stalled there, or that it has no room for."""
+        for task, number, since_s in report.stalled:
+            self._stop_stalled(report.key, task, number, agent_clock_s - since_s)
+        if report.draining:
+            self._stop_draining(report.key, report.remaining_ms / 1000)
+        if report.accepting:
+            self._withdraw_excess(report)
 
     def _stop_job(self, job_state: JobState) -> None:
         """Request stops of all runs of a finished job, or of its broken gangs."""
