--- a/tests/coordination/planner/test_election.py
+++ b/tests/coordination/planner/test_election.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import pytest
 from standins.job_store import MemoryStore
 
 from hyssoprill.coordination.planner import election
+from hyssoprill.coordination.planner.election import PlannerElection
 from hyssoprill.ports.store import Record, Writer
 from hyssoprill.state.job_table import SIZES_KEY, VACATED_KEY
 
@@ -188,7 +190,10 @@
     return overlaps
 
 
-def test_planner_grants_no_more_when_its_resignation_is_answered_late(run_scenario):
+@pytest.mark.parametrize("leave", [PlannerElection.resign, PlannerElection.give_up])
+def test_planner_grants_no_more_when_its_resignation_is_answered_late(
+    run_scenario, leave
+):
     async def scenario(harness):
         first, link, second = await start_with_a_peer(harness)
         append = link.append
@@ -200,7 +205,7 @@
 
         overlaps = record_overlaps(first, second)
         link.append = append_and_answer_late
-        await first.election.resign()
+        await leave(first.election)
         assert second.election.term == 2
         assert overlaps == []
 
