Let the model of agents extend leases with orders and restart

The model extended leases with grants only, and each of its reports listed the upstream, so that it could find neither fault of. Claims wait for the end of the predecessor's grants, as `_may_claim` does; they are as frequent as before.

--- a/tests/coordination/planner/test_run_machine.py
+++ b/tests/coordination/planner/test_run_machine.py
@@ -196,6 +196,8 @@
         self.orders: dict[str, VmOrders] = {}
         self.delayed: list[DelayedStart] = []
         self.granted_s: dict[str, float] = {}
+        self.granted_term: dict[str, int] = defaultdict(int)
+        self.unlisted_vms: set[str] = set()
         self.jobs: dict[str, Job] = {}
         self.cancelled_at: dict[str, int] = {}
         self.failures: dict[str, int] = defaultdict(int)
@@ -217,6 +219,8 @@
 
     def _run_until_all_jobs_end(self) -> None:
         """Check that all jobs end once there are no more faults."""
+        for vm in VMS:
+            self.check_in(vm)
         self.delayed.clear()
         for upstream in self.upstreams.values():
             upstream.resize(CAPACITY.accelerators, self.now_s)
@@ -263,6 +267,7 @@
             self.sent[vm].append(message)
         elif isinstance(message, Grant):
             self.granted_s[vm] = message.echoed_clock_s
+            self.granted_term[vm] = max(self.granted_term[vm], message.term)
 
     # Callers
 
@@ -318,6 +323,9 @@
     @rule(number=st.integers(0, 1))
     def claim(self, number: int) -> None:
         entry = self.entries[number]
+        if self.entries[1 - number].election.may_grant:
+            # An entry claims only after the grants of its predecessor.
+            self.pass_time(election.CLAIM_AFTER_S)
         while entry.replica.end != self.store.topic("jobs").end:
             self.runner.run(entry.replica.read_once(0.0))
         self.runner.run(entry.election._claim())
@@ -442,14 +450,13 @@
                 vm,
                 self.now_s,
                 self.report_numbers[vm],
-                [listed],
+                [] if vm in self.unlisted_vms else [listed],
                 ended_keys,
                 last_reports,
             )
         )
-        if self.granted_s.get(vm) == self.now_s:
-            lease_s = GRANT_TTL_S * (1 + MAX_CLOCK_DRIFT)
-            upstream.lease_s = max(upstream.lease_s, self.now_s + lease_s)
+        if self.granted_s.get(vm) == self.now_s and vm not in self.unlisted_vms:
+            self._extend_lease(vm)
 
     def _last_state(
         self, upstream: ModelUpstream
@@ -509,6 +516,13 @@
 
     def _execute_orders(self, vm: str, message: VmOrders, delayed: bool) -> None:
         upstream = self.upstreams[vm]
+        if vm in self.unlisted_vms:
+            return
+        if message.term >= self.granted_term[vm]:
+            self.granted_s[vm] = max(
+                self.granted_s.get(vm, 0.0), message.echoed_clock_s
+            )
+            self._extend_lease(vm)
         heard_s = max(message.echoed_clock_s, self.granted_s.get(vm, 0.0))
         may_start = self.now_s - heard_s < MAX_ORDER_AGE_S
         for one in message.upstreams:
@@ -538,6 +552,25 @@
             ]
         self._check_start_limit(upstream)
 
+    @rule(vm=st.sampled_from(VMS))
+    def restart_agent(self, vm: str) -> None:
+        """Restart an agent; until the next check-in it lists no upstream."""
+        self.unlisted_vms.add(vm)
+
+    @rule(vm=st.sampled_from(VMS))
+    def check_in(self, vm: str) -> None:
+        """Let the upstream check in with its agent, which then extends its lease."""
+        if vm in self.unlisted_vms:
+            self.unlisted_vms.discard(vm)
+            self._extend_lease(vm)
+
+    def _extend_lease(self, vm: str) -> None:
+        """Extend a lease as far as the newest grant allows."""
+        upstream = self.upstreams[vm]
+        lease_s = GRANT_TTL_S * (1 + MAX_CLOCK_DRIFT)
+        granted_s = self.granted_s.get(vm, -inf)
+        upstream.lease_s = max(upstream.lease_s, granted_s + lease_s)
+
     @rule(data=st.data())
     def execute_delayed_start(self, data: st.DataObject) -> None:
         if self.delayed:
@@ -702,3 +735,50 @@
     for vm in VMS:
         machine.stop_inherited(vm)
     machine.run_rounds(0, 3, True, False, set(), False, "")
+
+
+def busy_vms(machine: RunMachine) -> list[str]:
+    """Start the first job and return the VMs that run it."""
+    machine.run_rounds(0, 3, True, False, set(), False, "")
+    busy = [vm for vm in VMS if machine.upstreams[vm].running]
+    assert busy
+    machine.pass_time(3.0)
+    return busy
+
+
+def run_cut_off_rounds(machine: RunMachine, vms: list[str]) -> None:
+    """Run rounds at the second entry without these VMs, until their leases expire."""
+    for _round in range(40):
+        machine._run_round(1, True, False, set(vms), False)
+        machine.pass_time(0.3)
+        machine.each_task_runs_once()
+
+
+def test_task_runs_once_while_a_cut_off_planner_sends_orders(machine):
+    busy = busy_vms(machine)
+    machine.claim(1)
+    assert machine.entries[1].election.term == 2
+    orders = machine.entries[0].planner._orders
+    for _round in range(20):
+        machine.pass_time(0.6)
+        for vm in busy:
+            machine._report(vm, 0)
+        orders._sent.clear()
+        orders.publish(1)
+        for vm in busy:
+            machine.deliver(vm, 0, False)
+        machine._run_round(1, True, False, set(busy), False)
+        machine.each_task_runs_once()
+
+
+def test_task_runs_once_when_an_agent_restarts_before_its_upstream_checks_in(machine):
+    busy = busy_vms(machine)
+    for vm in busy:
+        machine.restart_agent(vm)
+    machine.claim(1)
+    for _round in range(20):
+        machine._run_round(1, True, False, set(), False)
+        machine.pass_time(0.3)
+    for vm in busy:
+        machine.check_in(vm)
+    run_cut_off_rounds(machine, busy)
