Failing test: a stop replaces the lapse of a run whose calls were answered

An agent stops all listed runs when its grant ends, also where no call is in doubt and the leases end by themselves. Not fixed here.

--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -15,6 +15,7 @@
 from hyssoprill.coordination.upstream.planner_grant import (
     GRANT_TTL_S,
     MAX_CALL_DELAY_S,
+    MAX_CLOCK_DRIFT,
 )
 from hyssoprill.coordination.upstream.vm_agent import (
     HEARTBEAT_INTERVAL_S,
@@ -1040,3 +1041,15 @@
         await harness.wait_until(lambda: reported_refusals(entry))
 
     run_scenario(scenario)
+
+
+def test_run_lapses_with_its_grant_when_all_calls_were_answered():
+    # A stop counts as one that the planner ordered; a lapse in an outage does not.
+    async def scenario(harness, agent):
+        await start_listed_run(harness, agent)
+        await lose_planner(harness, agent, left_s=0.5)
+        agent._report_due.set()
+        await asyncio.sleep(0.5 + GRANT_TTL_S * MAX_CLOCK_DRIFT)
+        assert not [call for call in harness.upstream.calls if call[0] == "stop"]
+
+    run_scenario(scenario)
