Failing test: a task starts elsewhere while its closed run may hold a lease

A VM that returns with a closed run is granted leases at once, before it has orders. Cut off again, it counts as silent after 1.6 s, and the task starts elsewhere, although the grant is good for 9.9 s. Not fixed here.

--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -503,6 +503,24 @@
     run_scenario(scenario)
 
 
+def test_task_does_not_start_elsewhere_while_its_closed_run_may_hold_a_lease(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 1.0)
+
+    async def scenario(harness):
+        entry, agent = await return_with_a_closed_run(harness, make_agent)
+        granted_s = entry.planner._fleet.vms[agent.vm].last_grant_s
+        monkeypatch.setattr(fleet, "MAX_SILENCE_S", 0.3)
+        other = make_agent(entry, "vm-2")
+        while not entry.ordered_runs("vm-2"):
+            other.report()
+            await asyncio.sleep(0.02)
+        assert fleet.boottime_s() - granted_s >= fleet.LEASE_EXPIRY_S
+
+    run_scenario(scenario)
+
+
 def test_sizes_of_upstreams_are_stored_once_for_all_entries(run_scenario, make_agent):
     async def scenario(harness):
         entry = harness.entry("a")
