Failing test: a task starts again after its closed run has ended done

A run that was closed while it worked on holds its task back until its end is listed; then the task starts again, also after `done`, and that end is acknowledged. Not fixed here.

--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -521,6 +521,25 @@
     run_scenario(scenario)
 
 
+def test_task_is_not_started_again_after_its_closed_run_has_ended_done(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 0.5)
+
+    async def scenario(harness):
+        entry, agent = await return_with_a_closed_run(harness, make_agent)
+        await asyncio.sleep(0.1)
+        assert entry.ordered_runs() == {}
+        agent.running = []
+        agent.end(f"{NAME}.0.0.0", 1, "done")
+        agent.report()
+        await harness.wait_until(lambda: entry.orders("vm-1")[agent.key].stored_upto)
+        await asyncio.sleep(0.3)
+        assert entry.ordered_runs() == {}
+
+    run_scenario(scenario)
+
+
 def test_sizes_of_upstreams_are_stored_once_for_all_entries(run_scenario, make_agent):
     async def scenario(harness):
         entry = harness.entry("a")
