Failing test: the repeat of an append extends the grants of a planner

An append without an answer is repeated under its sequence number. The answer counts as if the record had been stored at the repeat, so that the planner grants for 1.1 s from then, while others claim 1.6 s after the first try. Not fixed here.

--- a/tests/coordination/planner/test_election.py
+++ b/tests/coordination/planner/test_election.py
@@ -5,6 +5,7 @@
 from standins.job_store import MemoryStore
 
 from hyssoprill.coordination.planner import election
+from hyssoprill.errors import StoreInDoubtError, StoreRefusedError
 from hyssoprill.ports.store import Record, Writer
 from hyssoprill.state.job_table import SIZES_KEY, VACATED_KEY
 
@@ -244,3 +245,36 @@
         assert (first.election.term, second.election.term) == (1, 0)
 
     run_scenario(scenario)
+
+
+async def refuse_append(_records) -> int:
+    raise StoreRefusedError("no peer reaches the store")
+
+
+async def leave_unanswered(*_args, **_fields):
+    await asyncio.sleep(1.0)
+    raise StoreInDoubtError("no answer")
+
+
+def test_planner_grants_no_more_when_an_append_is_answered_at_its_repeat(run_scenario):
+    # Other entries count from the time at which the record was stored.
+    async def scenario(harness):
+        first, link, second = await start_with_a_peer(harness)
+        first.election._append_through_peer = refuse_append
+        append = link.append
+        answers = [leave_unanswered]
+
+        async def lose_first_answer(*args, **fields):
+            offset = await append(*args, **fields)
+            if answers:
+                await answers.pop()()
+            link.append = link.read = leave_unanswered
+            return offset
+
+        overlaps = record_overlaps(first, second)
+        link.append = lose_first_answer
+        await harness.wait_until(lambda: second.election.term == 2)
+        await asyncio.sleep(election.GRANT_WINDOW_S)
+        assert overlaps == []
+
+    run_scenario(scenario)
