Failing test: doubt that grows in small steps is not reported

`record_unanswered_call` compares with the doubt before the call and not with the doubt that was reported, so that repeats in less than 0.5 s never cause a report. Not fixed here.

--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -12,6 +12,7 @@
 from hyssoprill.coordination.planner.election import CLAIM_AFTER_S
 from hyssoprill.coordination.upstream import departure, late_starts
 from hyssoprill.coordination.upstream import session as session_module
+from hyssoprill.coordination.upstream.lease import MIN_REPORTED_INCREASE_S
 from hyssoprill.coordination.upstream.planner_grant import (
     GRANT_TTL_S,
     MAX_CALL_DELAY_S,
@@ -1043,6 +1044,21 @@
     run_scenario(scenario)
 
 
+def test_doubt_that_grows_in_small_steps_is_reported():
+    async def scenario(harness, agent):
+        await start_listed_run(harness, agent)
+        reports = harness.entries[0].reports
+        harness.upstream.answers_renewals = False
+        await asyncio.sleep(4.0)
+        (session,) = agent._sessions.values()
+        reported_until_s = reports[-1].clock_s
+        reported_until_s += reports[-1].upstreams[0].lease_uncertainty_s
+        unreported_s = boottime_s() + session.in_doubt_s - reported_until_s
+        assert unreported_s <= 2 * MIN_REPORTED_INCREASE_S
+
+    run_scenario(scenario)
+
+
 def test_run_lapses_with_its_grant_when_all_calls_were_answered():
     # A stop counts as one that the planner ordered; a lapse in an outage does not.
     async def scenario(harness, agent):
