--- a/tests/coordination/planner/test_fleet.py
+++ b/tests/coordination/planner/test_fleet.py
@@ -135,3 +135,14 @@
         vm = fleet.record_contact("vm-1", 1.0)
         vm.last_grant_s = clock.now_s
     assert fleet.end_reason(KEY) == ""
+
+
+def test_upstream_of_a_vm_whose_heartbeat_is_delayed_keeps_its_lease(clock):
+    # The heartbeat does not tell what the VM lists by the time that it arrives.
+    fleet = Fleet()
+    clock.now_s += 3.0
+    fleet.apply_report(VmReport("vm-1", 3.0, 1, [], [], []))
+    fleet.record_grant("vm-1")
+    clock.now_s += LEASE_EXPIRY_S - 2.9
+    fleet.record_contact("vm-1", 3.6, 1)
+    assert fleet.end_reason(KEY) == ""
