Exempt VMs whose reports list no upstream from the model's limit on starts

A planner cannot respect a capacity that shrank if no report has told it. Before restarts were modelled there was no such VM.

--- a/tests/coordination/planner/test_run_machine.py
+++ b/tests/coordination/planner/test_run_machine.py
@@ -388,6 +388,8 @@
 
         Called once a planner has decided by a report that was just made.
         """
+        if vm in self.unlisted_vms:
+            return
         upstream, orders = self.upstreams[vm], self.orders.get(vm)
         newest = max(((one.term, one.number) for one in self.sent[vm]), default=(0, 0))
         has_newest = orders is not None and (orders.term, orders.number) == newest
