--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -639,6 +639,41 @@
         assert ordered(entry, task) == (alive.key, 2)
         assert status(entry) == "running"
 
+
+def test_task_does_not_start_elsewhere_while_its_closed_run_may_hold_a_lease(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 1.0)
+
+    async def scenario(harness):
+        entry, agent = await return_with_a_closed_run(harness, make_agent)
+        granted_s = entry.planner._fleet.vms[agent.vm].last_grant_s
+        monkeypatch.setattr(fleet, "MAX_SILENCE_S", 0.3)
+        other = make_agent(entry, "vm-2")
+        while not entry.ordered_runs("vm-2"):
+            other.report()
+            await asyncio.sleep(0.02)
+        assert fleet.boottime_s() - granted_s >= fleet.LEASE_EXPIRY_S
+
+    run_scenario(scenario)
+
+
+def test_task_is_not_started_again_after_its_closed_run_has_ended_done(
+    run_scenario, make_agent, monkeypatch
+):
+    monkeypatch.setattr(fleet, "LEASE_EXPIRY_S", 0.5)
+
+    async def scenario(harness):
+        entry, agent = await return_with_a_closed_run(harness, make_agent)
+        await asyncio.sleep(0.1)
+        assert entry.ordered_runs() == {}
+        agent.running = []
+        agent.end(f"{NAME}.0.0.0", 1, "done")
+        agent.report()
+        await harness.wait_until(lambda: entry.orders("vm-1")[agent.key].stored_upto)
+        await asyncio.sleep(0.3)
+        assert entry.ordered_runs() == {}
+
     run_scenario(scenario)
 
 
