Report doubt that grows in small steps

Doubt was compared with its last value, not with the last one that was reported, so that renewals that break off at once let it grow by seconds unreported. test_doubt_that_grows_in_small_steps_is_reported failed before.

--- a/src/hyssoprill/coordination/upstream/lease.py
+++ b/src/hyssoprill/coordination/upstream/lease.py
@@ -45,6 +45,7 @@
         self._clock_synced_s = 0.0
         self._expires_s = 0.0
         self._in_doubt_until_s = in_doubt_until_s
+        self._reported_until_s = in_doubt_until_s
 
     def sync_clock(self, clock_ms: float) -> None:
         """Record the current time of the upstream's clock."""
@@ -92,9 +93,11 @@
             Whether the in-doubt period has grown enough to be reported.
         """
         until_s = sent_s + MAX_CALL_DELAY_S + max(lease_s, 0.0)
-        has_increased = until_s - self._in_doubt_until_s > MIN_REPORTED_INCREASE_S
         self._in_doubt_until_s = max(self._in_doubt_until_s, until_s)
-        return has_increased
+        if until_s - self._reported_until_s <= MIN_REPORTED_INCREASE_S:
+            return False
+        self._reported_until_s = until_s
+        return True
 
     @property
     def in_doubt_s(self) -> float:
