Count a repeated append from its first try without an answer

The store answers a repeat for the record that the first try stored, and other entries count from then; the planner counted its right to grant from the repeat. test_planner_grants_no_more_when_an_append_is_answered_at_its_repeat failed before.

--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -159,6 +159,7 @@
         term = self._term
         self._sequence += 1
         writer = Writer(term, self._sequence)
+        first_in_doubt_s = float("inf")
         while True:
             if not term or self._term != term:
                 raise StoreFencedError(f"entry {self._name} is no longer the planner")
@@ -170,10 +171,14 @@
                 raise
             except StoreError as exc:
                 decision("append_retried", term=term, why=str(exc))
+                if isinstance(exc, StoreInDoubtError):
+                    first_in_doubt_s = min(first_in_doubt_s, began_s)
                 await self._hand_over_if_cut_off()
                 await asyncio.sleep(APPEND_RETRY_S)
                 continue
-            self._last_stored_s = max(self._last_stored_s, began_s)
+            # A repeat may be answered for a record that was stored with an earlier try.
+            stored_s = min(first_in_doubt_s, began_s)
+            self._last_stored_s = max(self._last_stored_s, stored_s)
             self._replica.apply_appended(offset, records)
             return
 
