Let a renewal end the vacancy of a late hand-over

Found by review. A hand-over that is stored late left a term vacant for good, so that it could be claimed after 0.5 s of silence while its planner may grant for 1.1 s. test_term_that_is_renewed_after_a_late_hand_over_is_not_vacant and test_planner_of_a_late_hand_over_grants_no_more_when_it_is_succeeded failed before.

--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -200,7 +200,11 @@
     def is_term_vacant(self) -> bool:
         """Whether no planner holds the newest term any more, by its own word."""
         term = self.term
-        return term is None or term.resigned or term.term <= self.vacated_term
+        if term is None or term.resigned:
+            return True
+        # A planner that renews its term after a hand-over was stored holds it again.
+        is_renewed = self._offsets[PLANNER_KEY] > self._offsets.get(VACATED_KEY, -1)
+        return term.term <= self.vacated_term and not is_renewed
 
     def apply(self, offset: int, key: str, value: bytes) -> bool:
         """Apply a record; return whether it was newer than the known one of its key.
