Take a message as of its sending where it confirms a report

A heartbeat that is delayed tells nothing of what its VM lists as it arrives. test_upstream_of_a_vm_whose_heartbeat_is_delayed_keeps_its_lease failed before.

--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -45,8 +45,11 @@
         The planner's clock at the newest message.
     last_report_s : float
         The planner's clock at the newest report.
+    report_clock_s : float
+        The agent's clock at the newest report.
     confirmed_s : float
-        The planner's clock at the newest message that names the newest report.
+        The planner's clock when the newest message that names that report was sent, at
+        the latest.
     last_grant_s : float
         The planner's clock when it last allowed the agent to extend leases.
     granted_clock_s : float or None
@@ -63,6 +66,7 @@
     agent_clock_s: float = 0.0
     last_contact_s: float = float("-inf")
     last_report_s: float = float("-inf")
+    report_clock_s: float = 0.0
     confirmed_s: float = float("-inf")
     last_grant_s: float = float("-inf")
     granted_clock_s: float | None = None
@@ -114,6 +118,7 @@
             self._last_new_vm_s = boottime_s()
         vm.report_number = report.number
         vm.last_report_s = vm.confirmed_s = vm.last_contact_s
+        vm.report_clock_s = report.clock_s
         for key in vm.upstreams:
             self._extend_lease(key, LEASE_EXPIRY_S)
         for one in report.upstreams:
@@ -152,7 +157,8 @@
         vm.last_contact_s = boottime_s()
         vm.agent_clock_s = agent_clock_s
         if report_number and report_number == vm.report_number:
-            vm.confirmed_s = vm.last_contact_s
+            sent_s = vm.last_report_s + agent_clock_s - vm.report_clock_s
+            vm.confirmed_s = min(sent_s, vm.last_contact_s)
         return vm
 
     def is_responsive(self, name: str) -> bool:
