Hold a task while its closed run may hold a lease

Found by review. A VM that returns with a closed run is granted leases at once; where it fell silent again, the task started elsewhere 1.6 s later. test_task_does_not_start_elsewhere_while_its_closed_run_may_hold_a_lease failed before.

--- a/src/hyssoprill/coordination/planner/closed_runs.py
+++ b/src/hyssoprill/coordination/planner/closed_runs.py
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True)
 class ClosedRuns:
-    """Closed runs that are listed as running by VMs in contact.
+    """Closed runs that are listed as running and may hold a lease.
 
     Attributes
     ----------
@@ -52,12 +52,11 @@
 
 
 def find_closed_runs(fleet: Fleet, job_table: JobTable) -> ClosedRuns:
-    """Return the closed runs that VMs in contact list as running."""
+    """Return the closed runs that upstreams list, unless their leases have expired."""
     closed = ClosedRuns()
-    for name, vm in fleet.vms.items():
-        if fleet.is_responsive(name):
-            for report in vm.upstreams.values():
-                closed.add(report, job_table)
+    for report in fleet.reports():
+        if report.running and not fleet.end_reason(report.key):
+            closed.add(report, job_table)
     return closed
 
 
