Stop runs with their grant only in doubt, and after asking for a planner

Found by review. An agent that was paused stopped its runs before it had asked for a new grant; a withdrawn start that is listed as ended was stopped again each time. test_run_lapses_with_its_grant_when_all_calls_were_answered failed before.

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -20,6 +20,7 @@
 from ...tasks import TaskSet
 from .departure import DepartureWatch
 from .lease import MIN_LEASE_S, LeaseTracker
+from .planner_grant import GRANT_TTL_S, MAX_CLOCK_DRIFT
 from .progress import ProgressTracker, RunKey, run_key
 from .start_calls import StartCalls
 from .stop_calls import StopCalls
@@ -221,25 +222,29 @@
 
     @property
     def stop_lead_s(self) -> float:
-        """How long before the end of the grant the runs are stopped, in seconds."""
+        """How long before the end of the grant the runs are stopped, in seconds.
+
+        Where no call is in doubt, they are only stopped once their leases, by a slow
+        clock, must have expired.
+        """
         left_s = max(self._grant.runs_left_s, 0.0)
-        return STOP_LEAD_S if self.in_doubt_s > left_s else 0.0
+        is_in_doubt = self.in_doubt_s > left_s
+        return STOP_LEAD_S if is_in_doubt else -GRANT_TTL_S * MAX_CLOCK_DRIFT
 
     def stop_with_grant(self) -> None:
         """Stop all runs when the grant ends.
 
         Leases expire with it, unless an unanswered call extends them late.
         """
-        if self._grant.runs_left_s > self.stop_lead_s:
+        listing = self._listing
+        if listing is None or self._grant.runs_left_s > self.stop_lead_s:
             return
-        rows = self._listing.running if self._listing is not None else ()
-        listed = {run_key(row) for row in rows}
-        for key in sorted(listed):
+        for key in sorted(run_key(row) for row in listing.running):
             if self._calls.get(key, ("",))[0] != "stop":
                 self._stop_listed(key, "the grant ends")
         in_doubt = self.start_calls.in_doubt | self.start_calls.unlisted
         in_doubt &= self._ordered_runs.keys()
-        for key in sorted(in_doubt - listed - self._refused.keys()):
+        for key in sorted(in_doubt - listing.runs - self._refused.keys()):
             self._call(key, "stop", self._withdraw)
 
     async def _withdraw(self, key: RunKey) -> None:
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -322,8 +322,7 @@
                 self._mark_changed()
             if self._late_starts.settle(self._sessions):
                 self._mark_changed()
-            for session in self._sessions.values():
-                session.stop_with_grant()
+            was_searching = self._searching
             changed = self._report_due.is_set()
             self._report_due.clear()
             self._remove_ended_sessions()
@@ -331,6 +330,8 @@
                 self._search_planner()
             if changed or self._searching:
                 await self._send_report()
+                if was_searching:
+                    self._stop_with_grant()
             else:
                 await self._send(
                     VmHeartbeat(
@@ -338,6 +339,11 @@
                     )
                 )
 
+    def _stop_with_grant(self) -> None:
+        """Stop what must end with the grant, as no planner has answered."""
+        for session in self._sessions.values():
+            session.stop_with_grant()
+
     @property
     def _report_interval_s(self) -> float:
         """Longest time until the next report, heartbeat or end of the grant."""
