Call for a start only as long as its decision may still hold

The reasons of a start were looked at when it was decided and never again; an order ended only with an answer, a stop, or the loss of the planner for 2 s. So a start was also called for long after its planner's term, and an order that reached an agent late counted as new.

Each order of a run now tells when it was decided (`RunOrder.decided_ms`, stored with the run), and each message when it was sent, both by planners' clocks. The agent counts the age from its own clock reading that the message echoes, so an order is never taken as younger than it is, and no repetition, delay or later planner renews it (OrderAges). Once it is older than the validity that the planner sends with its orders, `evacuate_ms` less `config_apply_ms` (3 s with the bounds of the sites; an entry may decide on a start until it has learnt of a change), nobody calls for it any more. Its outcome is then settled: a run that a listing requested since names as running goes on; another is stopped where a call was unanswered, and refused, and the planner decides anew. A start that never reached its upstream is refused at once, so that its task no longer waits for that upstream only.

Settling takes up to 3.3 s after the upstream is sound again: a listing, the stop, and a listing requested after it, each renewal waiting for up to 1 s.

--- a/src/hyssoprill/coordination/planner/orders.py
+++ b/src/hyssoprill/coordination/planner/orders.py
@@ -4,7 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from ...protocol.upstream_messages import RunOrder, UpstreamOrders, VmOrders
+from ...clock import unix_ms
+from ...protocol.upstream_messages import (
+    DEFAULT_VALIDITY_S,
+    RunOrder,
+    UpstreamOrders,
+    VmOrders,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +30,11 @@
     ----------
     send : callable
         Sends a message to the agent of a VM.
+
+    Attributes
+    ----------
+    validity_s : float
+        Starts may be called for this long after they were decided.
     """
 
     def __init__(
@@ -36,6 +47,7 @@
         self._sent: dict[str, tuple[tuple[int, int], list[UpstreamOrders]]] = {}
         self._stored_upto: dict[str, int] = {}
         self._last_number = 0
+        self.validity_s = DEFAULT_VALIDITY_S
 
     def clear(self) -> None:
         """Drop what was sent, at the start of a term."""
@@ -71,7 +83,9 @@
         self._last_number += 1
         self._sent[name] = ((term, self._last_number), orders)
         echo_s = self._fleet.vms[name].agent_clock_s
-        self._send(name, VmOrders(term, self._last_number, echo_s, orders))
+        number, validity_s = self._last_number, self.validity_s
+        message = VmOrders(term, number, echo_s, orders, unix_ms(), validity_s)
+        self._send(name, message)
 
     def _orders(self, key: str) -> UpstreamOrders:
         runs, stopping = [], []
@@ -81,8 +95,16 @@
                 continue
             job_state = self._job_table.jobs[run.step.job_id]
             state = job_state.step_state(run.step.occurrence, run.step.step)
-            checkpoint = state.tasks[run.index].checkpoint
-            runs.append(RunOrder(task, run.run, job_state.job.payload, checkpoint))
+            stored = state.tasks[run.index]
+            runs.append(
+                RunOrder(
+                    task,
+                    run.run,
+                    job_state.job.payload,
+                    stored.checkpoint,
+                    stored.started_ms,
+                )
+            )
         return UpstreamOrders(key, runs, stopping, self._stored_upto.get(key, 0))
 
 
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -82,7 +82,6 @@
         self._election = election
         self._operator_config = operator_config
         self._send = send
-        self.set_bounds(bounds)
         self._round_requested = asyncio.Event()
         self._fleet = Fleet()
         self._stopping = StopRequests()
@@ -93,6 +92,7 @@
         self._closer = RunCloser(*shared, self._failures, self._speeds, self._run_times)
         self._stop_finder = StopFinder(*shared, self._failures, self._run_times)
         self._orders = OrderPublisher(*shared, send)
+        self.set_bounds(bounds)
         self._waiting_since_s: dict[StepKey, float] = {}
         self._last_drop_s = boottime_s()
         self._term = 0
@@ -101,6 +101,7 @@
         """Replace the bounds in force."""
         self._state_kept_s = bounds.state_kept_s
         self._reclaim_s = bounds.reclaim_ms / 1000
+        self._orders.validity_s = bounds.order_validity_s
 
     def request_round(self) -> None:
         """Have the next round start at once instead of after its interval."""
--- a/src/hyssoprill/coordination/upstream/planner_grant.py
+++ b/src/hyssoprill/coordination/upstream/planner_grant.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from ...clock import boottime_s
+from ...protocol.upstream_messages import DEFAULT_VALIDITY_S
 
 GRANT_TTL_S = 9.0
 """Leases expire at most this long after the report that the planner answered.
@@ -44,11 +45,15 @@
         Newest clock reading of this agent that the planner has echoed.
     began_s : float
         When this agent process began, by the same clock.
+    order_validity_s : float
+        Starts may be called for this long after they were decided, by the newest
+        orders.
     """
 
     term: int = 0
     echoed_clock_s: float = float("-inf")
     began_s: float = field(default_factory=boottime_s)
+    order_validity_s: float = DEFAULT_VALIDITY_S
 
     def update(self, term: int, echoed_clock_s: float) -> bool:
         """Apply a planner's message; return whether it is valid.
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -19,6 +19,7 @@
 from ...tasks import TaskSet
 from .departure import DepartureWatch
 from .lease import MIN_LEASE_S, LeaseTracker
+from .order_ages import OrderAges
 from .progress import ProgressTracker, RunKey, run_key
 from .start_calls import StartCalls
 from .stop_calls import StopCalls
@@ -92,6 +93,7 @@
         self._on_change = on_change
         self._orders: UpstreamOrders | None = None
         self._ordered_runs: dict[RunKey, RunOrder] = {}
+        self._order_ages = OrderAges()
         self._calls: dict[RunKey, tuple[str, asyncio.Task[None]]] = {}
         self._started: set[RunKey] = set()
         self._refused: dict[RunKey, str] = {}
@@ -177,10 +179,16 @@
 
     # Orders
 
-    def apply_orders(self, orders: UpstreamOrders) -> None:
-        """Replace earlier orders, then start missing runs and stop surplus ones."""
+    def apply_orders(
+        self, orders: UpstreamOrders, echoed_clock_s: float, sent_ms: int
+    ) -> None:
+        """Replace earlier orders, then start missing runs and stop surplus ones.
+
+        `echoed_clock_s` and `sent_ms` are those of the message with the orders.
+        """
         is_first = self._orders is None
         self._orders = orders
+        self._order_ages.update(orders.runs, echoed_clock_s, sent_ms)
         self._ordered_runs = {(run.task, run.run): run for run in orders.runs}
         if is_first:
             # An earlier agent process may already have tried to start these runs.
@@ -233,12 +241,19 @@
             del self._calls[key]
 
     async def _start(self, key: RunKey, order: RunOrder) -> None:
-        """Retry starting a run until it is accepted, refused or no longer ordered."""
+        """Retry starting a run until it is accepted, refused or no longer ordered.
+
+        A start that was decided too long ago is not called for any more, as its reasons
+        may be gone.
+        """
         while key in self._ordered_runs and not self.gone:
             reason = self._refusal_reason(key)
             if reason:
                 await self._refuse_when_settled(key, reason)
                 return
+            if self._order_ages.age_s(key) > self._grant.order_validity_s:
+                await self._settle_expired(key)
+                return
             if self._start_blocker():
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
@@ -282,6 +297,23 @@
             await self._refuse_when_settled(key, answer.reason)
             return
 
+    async def _settle_expired(self, key: RunKey) -> None:
+        """Settle a run whose order has expired: it goes on if a call has started it."""
+        if key in self.start_calls.in_doubt:
+            await self._wait_for_listing(boottime_s())
+            if self._listing is not None and self._listing.lists_running(*key):
+                self._started.add(key)
+                decision(
+                    "run_started", task=key[0], run=key[1], term=self.term, why="listed"
+                )
+                return
+        await self._refuse_when_settled(key, "order expired")
+
+    async def _wait_for_listing(self, after_s: float) -> None:
+        """Wait for a listing that was requested after a time."""
+        while self._listing_sent_s <= after_s:
+            await asyncio.sleep(RETRY_DELAY_S)
+
     async def _refuse_when_settled(self, key: RunKey, reason: str) -> None:
         """Report a run as refused once it is certain that it never ran and never will.
 
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -236,10 +236,11 @@
             return
         self._confirm_planner(sender)
         self._newest_orders = (message.term, message.number)
+        self._grant.order_validity_s = message.validity_s
         for orders in message.upstreams:
             session = self._sessions.get(parse_upstream_key(orders.key))
             if session is not None:
-                session.apply_orders(orders)
+                session.apply_orders(orders, message.echoed_clock_s, message.sent_ms)
 
     @_handle.register
     async def _(self, message: Referral, sender: str) -> None:
--- a/src/hyssoprill/job_settings.py
+++ b/src/hyssoprill/job_settings.py
@@ -15,6 +15,10 @@
 Seconds = Annotated[float, Meta(gt=0)]
 
 
+MIN_ORDER_VALIDITY_MS = 1000
+"""Shortest validity of an order to start a run; time for one call."""
+
+
 class StoreSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Address of the store and its record size limit.
 
@@ -41,12 +45,27 @@
         Maximum time until a guaranteed job has started.
     state_kept_s : float
         Time for which the state of a finished job can be queried.
+    evacuation_ms : int
+        Maximum time until nothing more is started in a zone that is taken out.
+    config_apply_ms : int
+        Maximum time until entries act on a new config.
     """
 
     key_revocation_ms: Milliseconds
     stop_grace_s: Seconds
     reclaim_ms: Milliseconds = 2900
     state_kept_s: Seconds = 120.0
+    evacuation_ms: Milliseconds = 5000
+    config_apply_ms: Milliseconds = 2000
+
+    @property
+    def order_validity_s(self) -> float:
+        """Seconds for which a start may be called for after it was decided.
+
+        It may have been decided until an entry has learnt that the zone is out.
+        """
+        validity_ms = self.evacuation_ms - self.config_apply_ms
+        return max(validity_ms, MIN_ORDER_VALIDITY_MS) / 1000
 
 
 class JobEntrySettings(
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -14,6 +14,9 @@
 FULL_PROGRESS_PERCENT = 100
 """Progress at which a long-running task stays while it works; from PROTOCOL, "Jobs"."""
 
+DEFAULT_VALIDITY_S = 3.0
+"""Validity of orders that do not name it."""
+
 
 class RunReport(Struct, frozen=True, array_like=True):
     """A run that an upstream lists as running.
@@ -151,12 +154,15 @@
     ----------
     checkpoint : str
         Checkpoint to resume from, '' to start afresh.
+    decided_ms : int
+        When the start was decided, in milliseconds since 1970; 0 if not known.
     """
 
     task: str
     run: int
     payload: str
     checkpoint: str
+    decided_ms: int = 0
 
 
 class UpstreamOrders(Struct, frozen=True, array_like=True):
@@ -183,12 +189,18 @@
     ----------
     echoed_clock_s : float
         The newest `clock_s` that the planner had from the agent.
+    sent_ms : int
+        When the planner sent the message, in milliseconds since 1970.
+    validity_s : float
+        Starts may be called for this long after they were decided.
     """
 
     term: int
     number: int
     echoed_clock_s: float
     upstreams: list[UpstreamOrders]
+    sent_ms: int = 0
+    validity_s: float = DEFAULT_VALIDITY_S
 
 
 class Grant(Message):
@@ -231,6 +243,7 @@
 
 
 __all__ = [
+    "DEFAULT_VALIDITY_S",
     "FULL_PROGRESS_PERCENT",
     "EndReport",
     "Grant",
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -58,7 +58,9 @@
             self.election,
             lambda: self.directory,
             lambda vm, message: self.sent.append((vm, message)),
-            bounds=JobBounds(key_revocation_ms=5000, stop_grace_s=6.0),
+            bounds=JobBounds(
+                key_revocation_ms=5000, stop_grace_s=6.0, evacuation_ms=9000
+            ),
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from hyssoprill.clock import unix_ms
 from hyssoprill.coordination.planner import fleet, planner
 from hyssoprill.protocol.job import ResourceAmounts, Step
-from hyssoprill.protocol.upstream_messages import RunReport
+from hyssoprill.protocol.upstream_messages import RunReport, VmOrders
 
 ONE = ResourceAmounts(1, 1000, 1000)
 WHOLE = ResourceAmounts(8, 64_000, 262_144)
@@ -73,6 +74,30 @@
     run_scenario(scenario)
 
 
+def test_orders_tell_when_their_starts_were_decided_also_from_a_later_planner(
+    run_scenario, make_agent
+):
+    async def scenario(harness):
+        before_ms = unix_ms()
+        entry, (agent,) = await start_planner(harness, make_agent, "vm-1")
+        await harness.submit(NAME)
+        await harness.wait_until(entry.ordered_runs)
+        (run,) = entry.orders("vm-1")[agent.key].runs
+        assert before_ms <= run.decided_ms <= unix_ms()
+        await entry.stop()
+        successor = harness.entry("entry-2")
+        await harness.wait_until(lambda: successor.election.term, 15.0)
+        agent.entry = successor
+        agent.report()
+        await harness.wait_until(successor.ordered_runs)
+        assert successor.orders("vm-1")[agent.key].runs == [run]
+        newest = [one for _, one in successor.sent if isinstance(one, VmOrders)][-1]
+        assert newest.sent_ms >= run.decided_ms
+        assert newest.validity_s == 7.0
+
+    run_scenario(scenario)
+
+
 def test_job_fails_after_max_attempts_and_is_not_started_again(
     run_scenario, make_agent
 ):
--- a/tests/coordination/upstream/test_session_faults.py
+++ b/tests/coordination/upstream/test_session_faults.py
@@ -114,7 +114,7 @@
     """Order a run until the session reports its end or a refusal; return which."""
     orders = UpstreamOrders(str(KEY), [RunOrder(TASK, run, "x", "")], [], 0)
     while True:
-        session.apply_orders(orders)
+        session.apply_orders(orders, boottime_s(), 0)
         await asyncio.sleep(0.005)
         report = session.report()
         for row in report.ended:
@@ -147,7 +147,7 @@
         session = UpstreamSession(KEY, check_in, upstream, grant, 6.0, lambda: None)
         refused = set()
         for run in range(1, RUNS + 1):
-            session.apply_orders(UpstreamOrders(str(KEY), [], [], 0))
+            session.apply_orders(UpstreamOrders(str(KEY), [], [], 0), boottime_s(), 0)
             if await order_until_settled(session, run) == "refused":
                 assert run not in upstream.started
                 refused.add(run)
