Settle runs without waiting for a renewal that waits for a change

A run whose start is withdrawn (order expired, refused with a call unanswered) is settled by a listing requested after its stop; each renewal waits for up to 1 s for a change, so that settling took up to 3.3 s after the upstream answered again, and its task waited beside free upstreams. While a run waits to be settled, renewals ask for an answer at once, one each 0.15 s.

test_run_is_settled_soon_after_its_upstream_answers_again failed before (not refused 1 s after the recovery) and passes.

--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -104,6 +104,7 @@
         self._departure = DepartureWatch()
         self._listing: RunListing | None = None
         self._listing_sent_s = float("-inf")
+        self._listing_waits = 0
         self._tasks = TaskSet()
         self._tasks.spawn(self._renew_loop())
         for run in inherited:
@@ -309,10 +310,26 @@
                 return
         await self._refuse_when_settled(key, "order expired")
 
-    async def _wait_for_listing(self, after_s: float) -> None:
-        """Wait for a listing that was requested after a time."""
-        while self._listing_sent_s <= after_s:
-            await asyncio.sleep(RETRY_DELAY_S)
+    async def _wait_for_listing(
+        self, after_s: float, *, without: RunKey | None = None
+    ) -> None:
+        """Wait for a listing that was requested after a time.
+
+        Parameters
+        ----------
+        without : tuple, optional
+            Run that it must not name as running any more.
+        """
+        self._listing_waits += 1
+        try:
+            while self._listing_sent_s <= after_s or (
+                without is not None
+                and self._listing is not None
+                and self._listing.lists_running(*without)
+            ):
+                await asyncio.sleep(RETRY_DELAY_S)
+        finally:
+            self._listing_waits -= 1
 
     async def _refuse_when_settled(self, key: RunKey, reason: str) -> None:
         """Report a run as refused once it is certain that it never ran and never will.
@@ -322,11 +339,7 @@
         """
         if key in self.start_calls.in_doubt or reason == RUN_ALREADY_ENDED:
             await self._stop(key)
-            confirmed_s = boottime_s()
-            while self._listing_sent_s <= confirmed_s or (
-                self._listing is not None and self._listing.lists_running(*key)
-            ):
-                await asyncio.sleep(RETRY_DELAY_S)
+            await self._wait_for_listing(boottime_s(), without=key)
             if self._listing is not None and self._listing.lists_ended(*key):
                 return
         self._refuse(key, reason)
@@ -413,10 +426,15 @@
             self._departure.record_call(refused=False)
             self._lease_tracker.record_extension(sent_s + RENEW_TIMEOUT_S, lease_s)
             self._apply_listing(listing, sent_s)
-            await asyncio.sleep(MIN_RENEW_INTERVAL_S)
+            await asyncio.sleep(
+                RETRY_DELAY_S if self._listing_waits else MIN_RENEW_INTERVAL_S
+            )
 
     async def _renew_lease(self) -> RunListing:
-        """Renew once; the first call only reads the listing and the clock."""
+        """Renew once; the first call only reads the listing and the clock.
+
+        The answer waits for a change unless a run is settled by the listing.
+        """
         is_first = self._listing is None
         stored_upto = self._orders.stored_upto if self._orders is not None else 0
         expiry_ms = None
@@ -426,7 +444,7 @@
             term=self._grant.term,
             stored_upto=stored_upto,
             lease_until_ms=expiry_ms,
-            wait_s=0.0 if is_first else RENEW_WAIT_S,
+            wait_s=0.0 if is_first or self._listing_waits else RENEW_WAIT_S,
             timeout_s=RENEW_TIMEOUT_S,
         )
         return listing.with_unstored_ends(self._listing, stored_upto)
--- a/tests/coordination/upstream/test_order_validity.py
+++ b/tests/coordination/upstream/test_order_validity.py
@@ -8,7 +8,7 @@
 
 from hyssoprill.clock import boottime_s, unix_ms
 from hyssoprill.coordination.upstream.planner_grant import PlannerGrant
-from hyssoprill.coordination.upstream.session import UpstreamSession
+from hyssoprill.coordination.upstream.session import RENEW_WAIT_S, UpstreamSession
 from hyssoprill.errors import (
     UpstreamBrokenOffError,
     UpstreamSilentError,
@@ -34,11 +34,17 @@
     ----------
     executes : bool
         Whether starts are carried out although they fail.
+    answers_renewals : bool
+        Whether renewals are answered although other calls fail.
+    renewal_wait_s : float
+        Longest time for which renewals wait when they are asked to.
     """
 
     def __init__(self) -> None:
         self.fault: Exception | None = None
         self.executes = False
+        self.answers_renewals = True
+        self.renewal_wait_s = 0.01
         self.start_times_s: list[float] = []
         self.stopped: list[tuple[str, int]] = []
         self.running: set[tuple[str, int]] = set()
@@ -61,7 +67,9 @@
     async def renew_lease(
         self, *, term, stored_upto, lease_until_ms, wait_s, timeout_s
     ):
-        await asyncio.sleep(0.01)
+        if self.fault is not None and not self.answers_renewals:
+            raise self.fault
+        await asyncio.sleep(min(wait_s, self.renewal_wait_s))
         rows = tuple(RunReport(task, run, "", 5) for task, run in self.running)
         return RunListing(1_000_000, rows, ())
 
@@ -140,6 +148,20 @@
     run_scenario(scenario)
 
 
+def test_run_is_settled_soon_after_its_upstream_answers_again():
+    async def scenario(harness, upstream):
+        harness.order()
+        upstream.answers_renewals, upstream.renewal_wait_s = False, RENEW_WAIT_S
+        upstream.fault = UpstreamBrokenOffError("reset")
+        run = RunOrder(*RUN, "x", "")
+        await harness.hold_orders(VALIDITY_S + SETTLING_S, run)
+        upstream.fault = None
+        await harness.hold_orders(RENEW_WAIT_S, run)
+        assert harness.refused_runs() == [RUN]
+
+    run_scenario(scenario)
+
+
 def test_start_that_never_reached_its_upstream_is_refused_once_its_order_has_expired():
     async def scenario(harness, upstream):
         harness.order()
