--- a/tests/test_job_settings.py
+++ b/tests/test_job_settings.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hyssoprill.errors import SettingsError
-from hyssoprill.job_settings import JobEntrySettings, JobSettings
+from hyssoprill.job_settings import JobBounds, JobEntrySettings, JobSettings
 from hyssoprill.settings import parse_settings
 
 ENTRY = {
@@ -56,3 +56,16 @@
         parse_settings(b'{"role":"job-entry","bounds":' + b"[" * 100_000, JobSettings)
     with pytest.raises(SettingsError):
         parse_settings(b'{"x":' + b"[" * 100_000, JobSettings)
+
+
+@pytest.mark.parametrize(
+    ("bounds", "expected_s"),
+    [
+        ({}, 3.0),
+        ({"evacuation_ms": 8000, "config_apply_ms": 2500}, 5.5),
+        ({"evacuation_ms": 2000, "config_apply_ms": 2000}, 1.0),
+    ],
+)
+def test_starts_are_valid_until_a_zone_that_is_out_gets_no_more(bounds, expected_s):
+    raw = json.dumps(BOUNDS | bounds).encode()
+    assert parse_settings(raw, JobBounds).order_validity_s == expected_s
