--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -20,6 +20,7 @@
 from ...tasks import TaskSet
 from .departure import DepartureWatch
 from .lease import MIN_LEASE_S, LeaseTracker
+from .order_ages import OrderAges
 from .planner_grant import GRANT_TTL_S, MAX_CLOCK_DRIFT
 from .progress import ProgressTracker, RunKey, run_key
 from .start_calls import StartCalls
@@ -96,6 +97,7 @@
         self._on_change = on_change
         self._orders: UpstreamOrders | None = None
         self._ordered_runs: dict[RunKey, RunOrder] = {}
+        self._order_ages = OrderAges()
         self._calls: dict[RunKey, tuple[str, asyncio.Task[None]]] = {}
         self._started: set[RunKey] = set()
         self._refused: dict[RunKey, str] = {}
@@ -106,6 +108,7 @@
         self._departure = DepartureWatch()
         self._listing: RunListing | None = None
         self._listing_sent_s = float("-inf")
+        self._listing_waits = 0
         self._tasks = TaskSet()
         self._tasks.supervise("lease_renewals", self._renew_loop)
         for run in inherited:
@@ -181,10 +184,16 @@
 
     # Orders
 
-    def apply_orders(self, orders: UpstreamOrders) -> None:
-        """Replace earlier orders, then start missing runs and stop surplus ones."""
+    def apply_orders(
+        self, orders: UpstreamOrders, echoed_clock_s: float, sent_ms: int
+    ) -> None:
+        """Replace earlier orders, then start missing runs and stop surplus ones.
+
+        `echoed_clock_s` and `sent_ms` are those of the message with the orders.
+        """
         is_first = self._orders is None
         self._orders = orders
+        self._order_ages.update(orders.runs, echoed_clock_s, sent_ms)
         self._ordered_runs = {(run.task, run.run): run for run in orders.runs}
         if is_first:
             # An earlier agent process may already have tried to start these runs.
@@ -274,12 +283,19 @@
             del self._calls[key]
 
     async def _start(self, key: RunKey, order: RunOrder) -> None:
-        """Retry starting a run until it is accepted, refused or no longer ordered."""
+        """Retry starting a run until it is accepted, refused or no longer ordered.
+
+        A start that was decided too long ago is not called for any more, as its reasons
+        may be gone.
+        """
         while key in self._ordered_runs and not self.gone:
             reason = self._refusal_reason(key)
             if reason:
                 await self._refuse_when_settled(key, reason)
                 return
+            if self._order_ages.age_s(key) > self._grant.order_validity_s:
+                await self._settle_expired(key)
+                return
             if self._start_blocker():
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
@@ -327,6 +343,39 @@
             await self._refuse_when_settled(key, answer.reason)
             return
 
+    async def _settle_expired(self, key: RunKey) -> None:
+        """Settle a run whose order has expired: it goes on if a call has started it."""
+        if key in self.start_calls.in_doubt:
+            await self._wait_for_listing(boottime_s())
+            if self._listing is not None and self._listing.lists_running(*key):
+                self._started.add(key)
+                decision(
+                    "run_started", task=key[0], run=key[1], term=self.term, why="listed"
+                )
+                return
+        await self._refuse_when_settled(key, "order expired")
+
+    async def _wait_for_listing(
+        self, after_s: float, *, without: RunKey | None = None
+    ) -> None:
+        """Wait for a listing that was requested after a time.
+
+        Parameters
+        ----------
+        without : tuple, optional
+            Run that it must not name as running any more.
+        """
+        self._listing_waits += 1
+        try:
+            while self._listing_sent_s <= after_s or (
+                without is not None
+                and self._listing is not None
+                and self._listing.lists_running(*without)
+            ):
+                await asyncio.sleep(RETRY_DELAY_S)
+        finally:
+            self._listing_waits -= 1
+
     async def _refuse_when_settled(self, key: RunKey, reason: str) -> None:
         """Report a run as refused once it is certain that it never ran and never will.
 
@@ -335,11 +384,7 @@
         """
         if key in self.start_calls.in_doubt or reason == RUN_ALREADY_ENDED:
             await self._stop(key)
-            confirmed_s = boottime_s()
-            while self._listing_sent_s <= confirmed_s or (
-                self._listing is not None and self._listing.lists_running(*key)
-            ):
-                await asyncio.sleep(RETRY_DELAY_S)
+            await self._wait_for_listing(boottime_s(), without=key)
             if self._listing is not None and self._listing.lists_ended(*key):
                 return
         self._refuse(key, reason)
@@ -426,10 +471,15 @@
             self._departure.record_call(refused=False)
             self._lease_tracker.record_extension(sent_s + RENEW_TIMEOUT_S, lease_s)
             self._apply_listing(listing, sent_s)
-            await asyncio.sleep(MIN_RENEW_INTERVAL_S)
+            await asyncio.sleep(
+                RETRY_DELAY_S if self._listing_waits else MIN_RENEW_INTERVAL_S
+            )
 
     async def _renew_lease(self) -> RunListing:
-        """Renew once; the first call only reads the listing and the clock."""
+        """Renew once; the first call only reads the listing and the clock.
+
+        The answer waits for a change unless a run is settled by the listing.
+        """
         is_first = self._listing is None
         stored_upto = self._orders.stored_upto if self._orders is not None else 0
         expiry_ms = None
@@ -439,7 +489,7 @@
             term=self._grant.term,
             stored_upto=stored_upto,
             lease_until_ms=expiry_ms,
-            wait_s=0.0 if is_first else RENEW_WAIT_S,
+            wait_s=0.0 if is_first or self._listing_waits else RENEW_WAIT_S,
             timeout_s=RENEW_TIMEOUT_S,
         )
         return listing.with_unstored_ends(self._listing, stored_upto)
