--- a/tests/coordination/upstream/test_vm_agent.py
+++ b/tests/coordination/upstream/test_vm_agent.py
@@ -80,6 +80,8 @@
         Whether runs stay listed after their stop.
     leases : list of int or None
         Expiry that each renewal requested.
+    token : int
+        Highest fencing token seen; stops and renewals with a lower one are refused.
     """
 
     def __init__(self) -> None:
@@ -97,6 +99,7 @@
         self.is_reachable = True
         self.is_listening = True
         self.leases: list[int | None] = []
+        self.token = 0
         self.clock_ms = 1_000_000
 
     async def start(self, order, *, term, lease_until_ms, timeout_s):
@@ -117,6 +120,8 @@
 
     async def stop(self, task, run, *, term, timeout_s):
         self.calls.append(("stop", task, run, term))
+        if term < self.token:
+            return False
         if not self.answers_stops:
             raise UpstreamSilentError("no answer")
         self.stopped.add((task, run))
@@ -133,6 +138,8 @@
             raise UpstreamNotListeningError("refused")
         if not self.is_reachable:
             raise UpstreamUnreachedError("no connection")
+        if term < self.token:
+            raise UpstreamSilentError("fence")
         self.leases.append(lease_until_ms)
         await asyncio.sleep(min(wait_s, 0.05))
         if not self.answers_renewals:
@@ -1246,6 +1253,18 @@
     run_scenario(scenario)
 
 
+def test_run_of_an_earlier_agent_is_stopped_when_no_planner_grants_in_time():
+    # A new process has the term 0, so that an upstream refuses its calls.
+    async def scenario(harness, agent):
+        harness.upstream.running[TASK, 1] = "x"
+        harness.upstream.token = 1
+        agent._grant.began_s = boottime_s() - 2 * GRANT_TTL_S
+        agent.handle_check_in(check_in())
+        await harness.wait_until(lambda: not harness.upstream.running)
+
+    run_scenario(scenario)
+
+
 def test_start_without_an_answer_is_withdrawn_when_its_grant_ends():
     async def scenario(harness, agent):
         entry = await start_with_upstream(harness, agent)
