Log how the planner's time is spent

The logs tell that starts were refused as expired, but not whether the planner's rounds, its messages or waits for the store made the orders late.

The entry that plans now writes planner_load: rounds in a window, the time that they compute, by part, the longest round, how late the event loop comes back from a pause, and messages of agents by kind; at most one line a second, and one in 10 s while it has time to spare. No decision changes.

--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -21,6 +21,7 @@
 from .closing import RunCloser
 from .failures import FailureTracker
 from .fleet import Fleet
+from .load import PlannerLoad
 from .orders import OrderPublisher
 from .policy_inputs import PolicyInputs, rack_of
 from .retention import expired_records
@@ -98,6 +99,7 @@
         self.set_bounds(bounds)
         self._waiting_since_s: dict[StepKey, float] = {}
         self._last_drop_s = boottime_s()
+        self._load = PlannerLoad()
         self._term = 0
 
     def set_bounds(self, bounds: JobBounds) -> None:
@@ -116,6 +118,7 @@
         """Apply an agent's report, grant it lease renewals and request a round."""
         if not self._update_term():
             return
+        self._load.count_message("report")
         self._fleet.apply_report(report)
         self._grant(report.vm, report.number)
         self.request_round()
@@ -124,6 +127,7 @@
         """Grant renewals for an unchanged report, and resend orders that were lost."""
         if not self._update_term():
             return
+        self._load.count_message("heartbeat")
         vm = self._fleet.record_contact(message.vm, message.clock_s, message.number)
         is_report_known = vm.report_number == message.number
         self._grant(message.vm, message.number if is_report_known else 0)
@@ -170,29 +174,51 @@
                 pass
             self._round_requested.clear()
             if self._update_term():
-                try:
-                    await self.run_round()
-                except StoreError as exc:
-                    decision("round_lost", term=self._term, why=str(exc))
-            await asyncio.sleep(MIN_ROUND_INTERVAL_S)
+                await self._run_measured_round()
+            await self._pause(MIN_ROUND_INTERVAL_S)
+
+    async def _run_measured_round(self) -> None:
+        """Run a round, record its load, and go on if the store has failed."""
+        began_s = boottime_s()
+        try:
+            await self.run_round()
+        except StoreError as exc:
+            decision("round_lost", term=self._term, why=str(exc))
+        self._load.record_round(
+            boottime_s() - began_s,
+            term=self._term,
+            vms=len(self._fleet.vms),
+            jobs=len(self._job_table.active),
+            waiting_steps=len(self._waiting_since_s),
+        )
+
+    async def _pause(self, pause_s: float) -> None:
+        """Leave the event loop to other work for a time."""
+        began_s = boottime_s()
+        await asyncio.sleep(pause_s)
+        self._load.record_pause(pause_s, boottime_s() - began_s)
 
     async def run_round(self) -> None:
         """Store ended runs, decide, store new runs, and only then send orders."""
         term = self._term
-        changes = StepChanges(self._job_table)
-        stored_upto = self._closer.close_reported(changes)
-        self._closer.close_expired(changes)
-        self._closer.record_checkpoints(changes)
+        with self._load.computing("ends"):
+            changes = StepChanges(self._job_table)
+            stored_upto = self._closer.close_reported(changes)
+            self._closer.close_expired(changes)
+            self._closer.record_checkpoints(changes)
         await self._append_changes(changes)
         self._orders.acknowledge(stored_upto)
         self._stopping.retain(self._job_table.open_runs)
         await self._append_capacities()
-        self._stop_finder.request_stops()
-        changes = StepChanges(self._job_table)
-        self._plan_starts(changes)
+        with self._load.computing("stops"):
+            self._stop_finder.request_stops()
+        with self._load.computing("starts"):
+            changes = StepChanges(self._job_table)
+            self._plan_starts(changes)
         await self._append_changes(changes)
         if self._election.term == term:
-            self._orders.publish(term)
+            with self._load.computing("orders"):
+                self._orders.publish(term)
         await self._drop_expired_jobs()
 
     async def _append_changes(self, changes: StepChanges) -> None:
