--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -11,6 +11,7 @@
 from hyssoprill.coordination.planner.election import PlannerElection
 from hyssoprill.coordination.planner.planner import Planner
 from hyssoprill.coordination.planner.replica import Replica
+from hyssoprill.coordination.policy.dispatch.dispatch import plan_round
 from hyssoprill.errors import StoreInDoubtError
 from hyssoprill.job_settings import JobBounds
 from hyssoprill.ports.store import Record
@@ -37,7 +38,11 @@
     """Replica, election and planner of one entry, and the messages that it has sent."""
 
     def __init__(
-        self, name: str, store: MemoryStore, append_through_peer: Any = None
+        self,
+        name: str,
+        store: MemoryStore,
+        append_through_peer: Any = None,
+        policy: Any = plan_round,
     ) -> None:
         self.name = name
         self.sent: list[tuple[str, Any]] = []
@@ -61,6 +66,7 @@
             bounds=JobBounds(
                 key_revocation_ms=5000, stop_grace_s=6.0, evacuation_ms=9000
             ),
+            policy=policy,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
