Leave time for messages between the planner's rounds

Cause: a round begins 10 ms after the one before as long as reports come, so that rounds take nearly all of the process's time once each computes for longer than that. Grants, orders and renewals of the term share that process and go out late; starts expire.

After a round the loop now rests for twice the round's computing time, 10 to 500 ms, so that rounds take at most a third. The reports of that time are planned for together.

--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -48,6 +48,10 @@
 
 A round that is requested starts without waiting for it."""
 MIN_ROUND_INTERVAL_S = 0.01
+REST_FACTOR = 2.0
+"""Multiple of a round's computing time that is left to messages before the next one."""
+MAX_REST_S = 0.5
+"""Longest such time, as guarantees and stops wait for rounds."""
 DROP_INTERVAL_S = 5.0
 MAX_LOGGED_STEPS = 8
 
@@ -173,13 +177,18 @@
             except TimeoutError:
                 pass
             self._round_requested.clear()
+            computed_s = 0.0
             if self._update_term():
-                await self._run_measured_round()
-            await self._pause(MIN_ROUND_INTERVAL_S)
+                computed_s = await self._run_measured_round()
+            rest_s = min(computed_s * REST_FACTOR, MAX_REST_S)
+            await self._pause(max(rest_s, MIN_ROUND_INTERVAL_S))
 
-    async def _run_measured_round(self) -> None:
-        """Run a round, record its load, and go on if the store has failed."""
-        began_s = boottime_s()
+    async def _run_measured_round(self) -> float:
+        """Run a round and return its computing time in seconds.
+
+        A failure of the store ends the round.
+        """
+        began_s, computed_s = boottime_s(), self._load.computing_s
         try:
             await self.run_round()
         except StoreError as exc:
@@ -191,6 +200,7 @@
             jobs=len(self._job_table.active),
             waiting_steps=len(self._waiting_since_s),
         )
+        return self._load.computing_s - computed_s
 
     async def _pause(self, pause_s: float) -> None:
         """Leave the event loop to other work for a time."""
