--- a/src/hyssoprill/coordination/planner/load.py
+++ b/src/hyssoprill/coordination/planner/load.py
@@ -41,6 +41,14 @@
     _parts_s: dict[str, float] = field(default_factory=lambda: defaultdict(float))
     _messages: dict[str, int] = field(default_factory=lambda: defaultdict(int))
 
+    def begin_window(self) -> None:
+        """Begin a new window, at the start of a term or after the last one."""
+        self._began_s = boottime_s()
+        self._rounds = 0
+        self._longest_s = self._longest_pause_s = 0.0
+        self._parts_s.clear()
+        self._messages.clear()
+
     @contextmanager
     def computing(self, part: str) -> Iterator[None]:
         """Measure a part of a round that computes without a pause."""
@@ -91,11 +99,7 @@
                 messages=dict(self._messages),
                 **state,
             )
-        self._began_s = now_s
-        self._rounds = 0
-        self._longest_s = self._longest_pause_s = 0.0
-        self._parts_s.clear()
-        self._messages.clear()
+        self.begin_window()
 
 
 __all__ = ["PlannerLoad"]
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -166,6 +166,7 @@
         self._stopping.clear()
         self._orders.clear()
         self._run_times.rebuild()
+        self._load.begin_window()
 
     # Rounds
 
--- a/tests/coordination/planner/test_load.py
+++ b/tests/coordination/planner/test_load.py
@@ -48,3 +48,16 @@
 def test_quiet_windows_are_logged_at_an_interval(lines):
     play_rounds(120, computing_s=0.01, pause_s=0.24)
     assert len(lines) == 3
+
+
+def test_window_begins_anew_when_a_term_begins(lines):
+    clock = Clock()
+    with simulated_time(clock):
+        measured = PlannerLoad()
+        measured.count_message("report")
+        clock.now_s += 30.0
+        measured.begin_window()
+        clock.now_s += 1.0
+        measured.record_round(0.1)
+    assert lines[0]["window_s"] == 1.0
+    assert lines[0]["messages"] == {}
