--- a/src/hyssoprill/coordination/entry/coordinator.py
+++ b/src/hyssoprill/coordination/entry/coordinator.py
@@ -17,6 +17,7 @@
     StopOrder,
 )
 from ...state.pool import build_placement, member_upstreams
+from ..pacing import rest_after
 from ..policy.decisions import Decision, Refuse, Revoke, Start
 from ..policy.scheduler import Scheduler
 from .membership import AGENT_SILENCE_S, LEASE_LAPSE_S
@@ -109,6 +110,7 @@
         self._metrics = metrics
         self.is_active = False
         self.wake = asyncio.Event()
+        self._computed_s = 0.0
         self._reset()
 
     def _reset(self) -> None:
@@ -218,11 +220,13 @@
                 pass
             self.wake.clear()
             if self.is_active:
+                self._computed_s = 0.0
                 try:
                     await self._step()
                 except Exception as exc:  # noqa: BLE001 - the state is rebuilt
                     self._metrics.failure("coordinator_step", exc)
                     self._rebuild()
+                await asyncio.sleep(rest_after(self._computed_s))
 
     def _rebuild(self) -> None:
         """Discard all state and rebuild it from agents and owners."""
@@ -242,7 +246,8 @@
             return
         started_s = time.perf_counter()
         decisions = self.scheduler.step(now_s)
-        self._metrics.gauge("decision_seconds", time.perf_counter() - started_s)
+        self._computed_s = time.perf_counter() - started_s
+        self._metrics.gauge("decision_seconds", self._computed_s)
         for decision in decisions:
             await self._execute(decision)
         for job_id, revocation in list(self._revocations.items()):
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -16,6 +16,7 @@
 from ...protocol.upstream_messages import Grant, Referral
 from ...state.job_table import SIZES_KEY
 from ...tasks import log_failure
+from ..pacing import rest_after
 from ..policy.dispatch.dispatch import plan_round
 from .changes import StepChanges
 from .closing import RunCloser
@@ -48,10 +49,6 @@
 
 A round that is requested starts without waiting for it."""
 MIN_ROUND_INTERVAL_S = 0.01
-REST_FACTOR = 2.0
-"""Multiple of a round's computing time that is left to messages before the next one."""
-MAX_REST_S = 0.5
-"""Longest such time, as guarantees and stops wait for rounds."""
 DROP_INTERVAL_S = 5.0
 MAX_LOGGED_STEPS = 8
 
@@ -181,8 +178,7 @@
             computed_s = 0.0
             if self._update_term():
                 computed_s = await self._run_measured_round()
-            rest_s = min(computed_s * REST_FACTOR, MAX_REST_S)
-            await self._pause(max(rest_s, MIN_ROUND_INTERVAL_S))
+            await self._pause(rest_after(computed_s, at_least_s=MIN_ROUND_INTERVAL_S))
 
     async def _run_measured_round(self) -> float:
         """Run a round and return its computing time in seconds.
