--- a/tests/coordination/planner/test_round_cost.py
+++ b/tests/coordination/planner/test_round_cost.py
@@ -1,4 +1,4 @@
-"""Tests that a round of the planner costs by what changes or waits, not by what runs."""
+"""Tests that a round of the planner does not cost by what runs."""
 
 from __future__ import annotations
 
