--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -21,6 +21,8 @@
 from .set_aside import set_aside
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from ...protocol.job import ResourceAmounts, Step
     from ...protocol.upstream_messages import UpstreamReport
     from ...state.job_table import JobState, JobTable, OpenRun, StepState
@@ -213,16 +215,16 @@
         found = [self.fleet.vms[vm].upstreams for vm in vms if vm in self.fleet.vms]
         return frozenset(key for upstreams in found for key in upstreams)
 
-    def running_units(self) -> list[RunningUnit]:
-        """Return the running units that may be preempted and are not being stopped."""
-        units = []
+    def running_units(self) -> Iterator[RunningUnit]:
+        """Yield the running units that may be preempted and are not being stopped."""
         for job_state in self.job_table.active.values():
+            units = []
             with set_aside("job", job_state.job.id):
                 for (occurrence, number), state in job_state.steps.items():
                     key = StepKey(job_state.job.id, occurrence, number)
                     step = job_state.job.steps[number]
                     units += self._running_units_of(job_state, key, step, state)
-        return units
+            yield from units
 
     def _running_units_of(
         self,
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -56,7 +56,7 @@
 def plan_round(
     waiting: Iterable[WaitingStep],
     upstreams: list[UpstreamView],
-    units: list[RunningUnit],
+    units: Iterable[RunningUnit],
     *,
     reclaim_s: float,
 ) -> Plan:
@@ -68,13 +68,15 @@
         Steps with tasks to place. Tasks that start are removed from their `indices`.
     upstreams : list of UpstreamView
         Upstreams that accept starts. Their free capacity is reduced in place.
-    units : list of RunningUnit
-        Running units that are not being stopped.
+    units : iterable of RunningUnit
+        Running units that are not being stopped. Read once, and only if a step may
+        preempt: finding them costs by what runs.
     reclaim_s : float
         Time within which a job covered by a guarantee must get its resources.
     """
     plan = Plan()
     reservations = 0
+    stoppable: list[RunningUnit] | None = None
     for step in sorted(waiting, key=scheduling_order):
         may_wait = not has_waited_beside_idle_pool(step, upstreams)
         candidates = _candidates(step, upstreams, may_wait=may_wait)
@@ -83,11 +85,14 @@
         spread = not (may_wait and _waits_for_rack(step))
         if not candidates or _start_now(step, candidates, plan, spread=spread):
             continue
-        stopped = _choose_preemptions(step, candidates, units, reclaim_s)
+        stopped = None
+        if _may_preempt(step):
+            stoppable = list(units) if stoppable is None else stoppable
+            stopped = _choose_preemptions(step, candidates, stoppable, reclaim_s)
         if stopped is not None:
             plan.stops += [(unit, f"room for {step.key.job_id}") for unit in stopped]
             stopped_ids = {id(unit) for unit in stopped}
-            units = [unit for unit in units if id(unit) not in stopped_ids]
+            stoppable = [unit for unit in stoppable if id(unit) not in stopped_ids]
         elif reservations < MAX_RESERVATIONS:
             reservations += _reserve_future(step, candidates)
     return plan
@@ -176,27 +181,34 @@
     return 1
 
 
+def _may_preempt(step: WaitingStep) -> bool:
+    """Return whether a step may stop running units.
+
+    Beyond the guarantee an urgent step may at once, and others when they are about to
+    miss their objective, unless it cannot be met any more.
+    """
+    if step.within_guarantee:
+        return True
+    is_pressed = step.is_urgent or step.slack_s < PREEMPT_SLACK_S
+    return is_pressed and step.slack_s >= -step.expected_s * ESTIMATE_ERROR_SHARE
+
+
 def _choose_preemptions(
     step: WaitingStep,
     candidates: list[UpstreamView],
     units: list[RunningUnit],
     reclaim_s: float,
 ) -> list[RunningUnit] | None:
-    """Return the units to stop so that a step fits, or None if it may not preempt.
+    """Return the units to stop so that a step that may preempt fits, or None.
 
     A step covered by its workspace's guarantee may preempt all but urgent work that
-    is covered itself. Beyond the guarantee a step preempts only lower priorities, an
-    urgent one at once and others when they are about to miss their objective, and the
-    work lost is limited to a share of its own. If not all tasks of a step that is not a
-    gang can be placed within that limit, one is.
+    is covered itself. Beyond the guarantee a step preempts only lower priorities, and
+    the work lost is limited to a share of its own. If not all tasks of a step that is
+    not a gang can be placed within that limit, one is.
     """
     if step.within_guarantee:
         return _choose_reclaims(step, candidates, units, reclaim_s)
     lower_priority = [unit for unit in units if unit.priority > step.job.priority]
-    may_preempt = step.is_urgent or step.slack_s < PREEMPT_SLACK_S
-    estimate_error_s = step.expected_s * ESTIMATE_ERROR_SHARE
-    if not may_preempt or step.slack_s < -estimate_error_s:
-        return None
     loss_share = MAX_URGENT_LOSS_SHARE if step.is_urgent else MAX_LATE_LOSS_SHARE
     max_cost = step.work_core_s * loss_share
     stops = select_preemptions(step, candidates, lower_priority, max_cost=max_cost)
--- a/tests/coordination/planner/test_set_aside.py
+++ b/tests/coordination/planner/test_set_aside.py
@@ -11,6 +11,7 @@
 from hyssoprill.coordination.planner.set_aside import find_breaking
 from hyssoprill.coordination.planner.stopping import StopFinder
 from hyssoprill.coordination.policy.dispatch.dispatch import plan_round
+from hyssoprill.protocol.job import ResourceAmounts, Step
 
 
 def fails_for(monkeypatch, owner, name: str, find_name) -> list[str]:
@@ -54,6 +55,9 @@
         await harness.wait_until(lambda: entry.ordered_runs().get("odd1.0.0.0"))
         hits = fails_for(monkeypatch, owner, name, find_name)
         await harness.submit("odd2")
+        # It never fits, so that each round looks for units to stop.
+        whole = Step(count=3, gang=True, need=ResourceAmounts(0, 64_000, 1000))
+        await harness.submit("wide", whole, priority=0)
         await harness.submit("a1")
         await harness.wait_until(lambda: entry.ordered_runs().get("a1.0.0.0"))
         await harness.wait_until(lambda: hits)
