--- a/tests/coordination/planner/test_round_cost.py
+++ b/tests/coordination/planner/test_round_cost.py
@@ -51,6 +51,7 @@
         self.count_calls()
         self.report_all()
         self.count_calls()
+        assert self.open_runs() == runs_per_upstream * UPSTREAMS
 
     async def append(self, records: list[Record]) -> None:
         for record in records:
@@ -58,12 +59,16 @@
             self.job_table.apply(self._offset, record.key, record.value)
 
     def submit(self, number: int, count: int) -> None:
-        step = Step(count=count, need=NEED, estimate_ms=60_000, max_per_upstream=1)
+        # With checkpoints, as other work leaves headroom and would wait.
+        step = Step(count, NEED, 60_000, checkpoints=True, max_per_upstream=1)
         name = f"{number:016x}"
         job = Job(name, "q", "g", "w", 1, 4, 3.0, 1000, 1_000_000, "", (step,))
         record = Record(JOB_PREFIX + name, msgspec.json.encode(job))
         asyncio.run(self.append([record]))
 
+    def open_runs(self) -> int:
+        return sum(map(len, self.job_table.open_runs.values()))
+
     def report_all(self) -> None:
         for number in range(UPSTREAMS):
             self.report(number)
@@ -108,10 +113,9 @@
         self.report(0)
         if waiting:
             self.submit(99, waiting)
-        open_before = sum(map(len, self.job_table.open_runs.values()))
+        open_before = self.open_runs()
         calls = self.count_calls()
-        open_after = sum(map(len, self.job_table.open_runs.values()))
-        assert open_after - open_before == waiting
+        assert self.open_runs() - open_before == waiting
         return calls
 
 
