--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -8,7 +8,7 @@
 
 from ...clock import boottime_s
 from ...protocol.upstream_messages import FULL_PROGRESS_PERCENT
-from ...state.job_table import OPEN, WAITING, StepKey
+from ...state.job_table import OPEN, StepKey
 from ..policy.dispatch.model import (
     RunningUnit,
     UpstreamView,
@@ -204,9 +204,7 @@
         """Return the tasks to start; a gang starts only with all of its tasks."""
         running = self._closed_runs.tasks
         waiting = [
-            index
-            for index, task in enumerate(state.tasks)
-            if task.phase == WAITING and (key, index) not in running
+            index for index in state.waiting_indices if (key, index) not in running
         ]
         return [] if step.gang and len(waiting) < step.count else waiting
 
@@ -233,10 +231,8 @@
         step: Step,
         state: StepState,
     ) -> list[RunningUnit]:
-        indices = [
-            index for index, task in enumerate(state.tasks) if task.phase == OPEN
-        ]
-        groups = [indices] if step.gang else [[index] for index in indices]
+        indices = state.open_indices
+        groups = [indices] if step.gang else [(index,) for index in indices]
         if step.may_miss:
             groups = groups[: self._preemptible_count(key, step, state)]
         units = []
@@ -249,7 +245,7 @@
             units.append(
                 RunningUnit(
                     key,
-                    tuple(group),
+                    group,
                     tuple(state.tasks[index].upstream for index in group),
                     step.need,
                     job_state.job.priority,
@@ -383,9 +379,8 @@
 
 def _count_tasks_per_upstream(state: StepState) -> dict[str, int]:
     counts: dict[str, int] = defaultdict(int)
-    for task in state.tasks:
-        if task.phase == OPEN:
-            counts[task.upstream] += 1
+    for index in state.open_indices:
+        counts[state.tasks[index].upstream] += 1
     return counts
 
 
--- a/src/hyssoprill/coordination/planner/run_times.py
+++ b/src/hyssoprill/coordination/planner/run_times.py
@@ -50,13 +50,8 @@
 
     def expected_s(self, job: Job, step: Step, state: StepState | None) -> float:
         """Return the expected run time of a task of a step."""
-        done = [
-            task.ran_ms
-            for task in (state.tasks if state is not None else ())
-            if task.phase == DONE and task.ran_ms
-        ]
-        if done:
-            return sum(done) / len(done) / 1000
+        if state is not None and state.mean_ran_s is not None:
+            return state.mean_ran_s
         return self.model.expected_s(job.queue, step.estimate_ms / 1000)
 
     def remaining_s(self, job_state: JobState, key: StepKey, index: int) -> float:
--- a/src/hyssoprill/coordination/planner/stopping.py
+++ b/src/hyssoprill/coordination/planner/stopping.py
@@ -70,13 +70,12 @@
         for (occurrence, number), state in job_state.steps.items():
             step = job_state.job.steps[number]
             key = StepKey(job_state.job.id, occurrence, number)
-            open_indices = [
-                i for i, task in enumerate(state.tasks) if task.phase == OPEN
-            ]
             reason = end_status
-            if not reason and step.gang and 0 < len(open_indices) < step.count:
+            if not reason and step.gang and 0 < len(state.open_indices) < step.count:
                 reason = "gang broken"
-            for index in open_indices:
+            if not reason and not state.has_done_runs:
+                continue
+            for index in state.open_indices:
                 task = state.tasks[index]
                 why = "an earlier run is done" if task.done_run else reason
                 if why:
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -28,6 +28,7 @@
     StepState,
     TaskState,
     parse_step_record,
+    unstarted_state,
 )
 
 if TYPE_CHECKING:
@@ -81,13 +82,19 @@
     cancelled: bool = False
     steps: dict[tuple[int, int], StepState] = field(default_factory=dict)
     finished_s: float = 0.0
+    _status: JobStatus | None = field(default=None, init=False)
+
+    def set_step(self, occurrence: int, number: int, state: StepState) -> None:
+        """Replace the state of a step."""
+        self.steps[occurrence, number] = state
+        self._status = None
 
     def step_state(self, occurrence: int, number: int) -> StepState:
         """Return the state of a step; all tasks wait where none was started."""
         known = self.steps.get((occurrence, number))
         if known is not None:
             return known
-        return StepState((TaskState(),) * self.job.steps[number].count)
+        return unstarted_state(self.job.steps[number].count)
 
     @property
     def has_started(self) -> bool:
@@ -97,25 +104,19 @@
     @property
     def has_open_runs(self) -> bool:
         """Whether any run may still be on an upstream."""
-        return any(
-            task.phase == OPEN for state in self.steps.values() for task in state.tasks
-        )
-
-    @property
-    def has_failed(self) -> bool:
-        """Whether a task has used up its attempts, or was given up."""
-        return any(
-            task.phase == FAILED
-            for state in self.steps.values()
-            for task in state.tasks
-        )
+        return any(state.open_indices for state in self.steps.values())
 
     @property
     def status(self) -> JobStatus:
         """Status that callers are given."""
         if self.cancelled:
             return "cancelled"
-        if self.has_failed:
+        if self._status is None:
+            self._status = self._status_by_steps()
+        return self._status
+
+    def _status_by_steps(self) -> JobStatus:
+        if any(state.has_failed for state in self.steps.values()):
             return "failed"
         expected = self.job.occurrences * len(self.job.steps)
         if len(self.steps) == expected and all(s.is_done for s in self.steps.values()):
@@ -143,7 +144,9 @@
             if self.job.due_ms(occurrence) > now_ms:
                 return
             for number, step in enumerate(self.job.steps):
-                if all(self._is_step_done(occurrence, one) for one in step.after):
+                if not step.after or all(
+                    self._is_step_done(occurrence, one) for one in step.after
+                ):
                     yield occurrence, number, step
 
     def _is_step_done(self, occurrence: int, number: int) -> bool:
@@ -285,7 +288,7 @@
             if task.phase == OPEN:
                 run = OpenRun(key, index, task.run)
                 self.open_runs[task.upstream][key.task_name(index)] = run
-        job_state.steps[key[1:]] = state
+        job_state.set_step(key.occurrence, key.step, state)
 
     def _update_active(self, job_state: JobState) -> None:
         """Keep a job in `active` while it may start tasks or has open runs."""
--- a/src/hyssoprill/state/step_state.py
+++ b/src/hyssoprill/state/step_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import cached_property, lru_cache
 from typing import TYPE_CHECKING, Annotated, NamedTuple
 
 import msgspec
@@ -75,16 +76,51 @@
         return self.phase == DONE or self.done_run > 0
 
 
-class StepState(Struct, frozen=True, array_like=True):
-    """Stored state of all tasks of one occurrence of a step."""
+class StepState(Struct, frozen=True, array_like=True, dict=True):
+    """Stored state of all tasks of one occurrence of a step.
+
+    What rounds of the planner ask of it is computed once, as a state never changes.
+    """
 
     tasks: tuple[TaskState, ...]
 
-    @property
+    @cached_property
     def is_done(self) -> bool:
         """Whether all tasks are done."""
         return all(task.is_done for task in self.tasks)
 
+    @cached_property
+    def has_failed(self) -> bool:
+        """Whether a task has used up its attempts, or was given up."""
+        return any(task.phase == FAILED for task in self.tasks)
+
+    @cached_property
+    def has_done_runs(self) -> bool:
+        """Whether an earlier run of some task has ended as done beside the newest."""
+        return any(task.done_run for task in self.tasks)
+
+    @cached_property
+    def open_indices(self) -> tuple[int, ...]:
+        """The tasks with open runs."""
+        return tuple(i for i, task in enumerate(self.tasks) if task.phase == OPEN)
+
+    @cached_property
+    def waiting_indices(self) -> tuple[int, ...]:
+        """The tasks that wait."""
+        return tuple(i for i, task in enumerate(self.tasks) if task.phase == WAITING)
+
+    @cached_property
+    def mean_ran_s(self) -> float | None:
+        """Mean run time of the done tasks, None where no run time was kept."""
+        done = [t.ran_ms for t in self.tasks if t.phase == DONE and t.ran_ms]
+        return sum(done) / len(done) / 1000 if done else None
+
+
+@lru_cache
+def unstarted_state(count: int) -> StepState:
+    """Return the state of a step of which no task was started."""
+    return StepState((TaskState(),) * count)
+
 
 class StepKey(NamedTuple):
     """Identifies one occurrence of one step of a job."""
@@ -149,4 +185,5 @@
     "StepState",
     "TaskState",
     "parse_step_record",
+    "unstarted_state",
 ]
