--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -15,8 +15,9 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
+    from ...protocol.upstream_key import UpstreamKey
     from ...protocol.upstream_messages import RunReport, UpstreamReport, VmReport
 
 SETTLE_TIME_S = 0.4
@@ -73,6 +74,39 @@
     upstreams: dict[str, UpstreamReport] = field(default_factory=dict)
     ended_upstreams: frozenset[str] = frozenset()
     last_reports: dict[str, UpstreamReport] = field(default_factory=dict)
+    _newest: dict[tuple[str, str], UpstreamKey] = field(default_factory=dict)
+    _listed: dict[str, dict[tuple[str, int], RunReport]] = field(default_factory=dict)
+
+    def set_reports(
+        self, upstreams: Iterable[UpstreamReport], last: Iterable[UpstreamReport]
+    ) -> None:
+        """Replace the newest and the last reports."""
+        self.upstreams = {one.key: one for one in upstreams}
+        self.last_reports = {one.key: one for one in last}
+        self._listed.clear()
+        self._newest.clear()
+
+    def find(self, key: str) -> UpstreamReport | None:
+        """Return the newest, or the last, report of an upstream incarnation."""
+        return self.upstreams.get(key) or self.last_reports.get(key)
+
+    def lists_successor_of(self, key: UpstreamKey) -> bool:
+        """Return whether an upstream is listed that proves that another has ended."""
+        if not self._newest:
+            for one in sorted(map(parse_upstream_key, self.upstreams)):
+                self._newest[one.vm, one.address] = one
+        newest = self._newest.get((key.vm, key.address))
+        return newest is not None and newest.supersedes(key)
+
+    def find_run(self, key: str, task: str, run: int) -> RunReport | None:
+        """Return a run as that report lists it, None if it does not."""
+        listed = self._listed.get(key)
+        if listed is None:
+            report = self.find(key)
+            rows = report.running if report is not None else ()
+            listed = {(one.task, one.run): one for one in reversed(rows)}
+            self._listed[key] = listed
+        return listed.get((task, run))
 
 
 class Fleet:
@@ -125,9 +159,8 @@
             if one.lease_uncertainty_s:
                 in_doubt_s = one.lease_uncertainty_s * (1 + MAX_CLOCK_DRIFT)
                 self._extend_lease(one.key, in_doubt_s + LEASE_EXPIRY_MARGIN_S)
-        vm.upstreams = {one.key: one for one in report.upstreams}
         vm.ended_upstreams = frozenset(report.ended_keys)
-        vm.last_reports = {one.key: one for one in report.last_reports}
+        vm.set_reports(report.upstreams, report.last_reports)
         return vm
 
     def record_grant(self, name: str) -> float:
@@ -179,9 +212,7 @@
     def find(self, key: str) -> UpstreamReport | None:
         """Return the newest, or the last, report of an upstream incarnation."""
         vm = self.vms.get(key.partition("|")[0])
-        if vm is None:
-            return None
-        return vm.upstreams.get(key) or vm.last_reports.get(key)
+        return vm.find(key) if vm is not None else None
 
     def latest_checkpoint(self, key: str, task: str, run: int) -> str:
         """Return the checkpoint of a run by the newest report, '' if unknown."""
@@ -194,11 +225,8 @@
         return row.percent if row is not None else 0
 
     def _find_run(self, key: str, task: str, run: int) -> RunReport | None:
-        report = self.find(key)
-        for row in report.running if report is not None else ():
-            if (row.task, row.run) == (task, run):
-                return row
-        return None
+        vm = self.vms.get(key.partition("|")[0])
+        return vm.find_run(key, task, run) if vm is not None else None
 
     def end_reason(self, key: str) -> str:
         """Return why an upstream incarnation can no longer run tasks, or ''.
@@ -210,7 +238,7 @@
         if vm is not None:
             if key in vm.ended_upstreams:
                 return "lapsed" if _is_long_silent(vm) else "gone"
-            if any(parse_upstream_key(one).supersedes(name) for one in vm.upstreams):
+            if vm.lists_successor_of(name):
                 return "replaced"
         if boottime_s() > self._lease_expiry_s(key, vm):
             return "lapsed"
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -8,7 +8,7 @@
 
 from ...clock import boottime_s
 from ...protocol.upstream_messages import FULL_PROGRESS_PERCENT
-from ...state.job_table import OPEN, StepKey
+from ...state.job_table import StepKey
 from ..policy.dispatch.model import (
     RunningUnit,
     UpstreamView,
@@ -266,13 +266,14 @@
         Tasks that are not fully at work, or are being stopped, count as missing.
         """
         at_work = 0
-        for index, task in enumerate(state.tasks):
+        for index in state.open_indices:
+            task = state.tasks[index]
             run = (key.task_name(index), task.run)
             is_at_work = (
                 self.fleet.progress_percent(task.upstream, *run)
                 >= FULL_PROGRESS_PERCENT
             )
-            at_work += task.phase == OPEN and is_at_work and run not in self.stopping
+            at_work += is_at_work and run not in self.stopping
         return max(step.may_miss - (step.count - at_work), 0)
 
     def _slack_s(self, job_state: JobState, occurrence: int, now_ms: int) -> float:
--- a/src/hyssoprill/protocol/upstream_key.py
+++ b/src/hyssoprill/protocol/upstream_key.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import Annotated, NamedTuple
 
 from msgspec import Meta
@@ -11,6 +12,8 @@
 """Text that `parse_upstream_key` can parse."""
 OptionalKeyText = Annotated[str, Meta(pattern=rf"^(?:{_KEY_PATTERN})?\Z")]
 """The same, or ''."""
+MAX_PARSED_KEYS = 4096
+"""Keys of which the parsed form is kept: the same ones are parsed again and again."""
 
 
 class UpstreamKey(NamedTuple):
@@ -43,6 +46,7 @@
         return self.supersedes(other) and self.id == other.id
 
 
+@lru_cache(MAX_PARSED_KEYS)
 def parse_upstream_key(text: str) -> UpstreamKey:
     """Parse the text form of a key.
 
