--- a/src/hyssoprill/coordination/planner/orders.py
+++ b/src/hyssoprill/coordination/planner/orders.py
@@ -13,7 +13,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ...protocol.message import Message
     from ...state.job_table import JobTable
@@ -45,6 +45,7 @@
         self._stopping = stopping
         self._send = send
         self._sent: dict[str, tuple[tuple[int, int], list[UpstreamOrders]]] = {}
+        self._sent_versions: dict[str, list[tuple[str, int, int, int]]] = {}
         self._stored_upto: dict[str, int] = {}
         self._last_number = 0
         self.validity_s = DEFAULT_VALIDITY_S
@@ -52,6 +53,7 @@
     def clear(self) -> None:
         """Drop what was sent, at the start of a term."""
         self._sent.clear()
+        self._sent_versions.clear()
         self._stored_upto.clear()
         self._last_number = 0
 
@@ -62,10 +64,22 @@
     def publish(self, term: int) -> None:
         """Send each VM its orders if they have changed."""
         for name, vm in self._fleet.vms.items():
+            versions = self._versions(vm.upstreams)
+            if self._sent_versions.get(name) == versions:
+                continue
             orders = [self._orders(key) for key in vm.upstreams]
             sent = self._sent.get(name)
-            if sent is None or sent[1] != orders:
-                self._send_to(name, term, orders)
+            is_sent = sent is not None and sent[1] == orders
+            if is_sent or self._send_to(name, term, orders):
+                self._sent_versions[name] = versions
+
+    def _versions(self, upstreams: Iterable[str]) -> list[tuple[str, int, int, int]]:
+        """Return the versions of all that the orders of a VM are made of."""
+        runs, stops = self._job_table.open_runs_versions, self._stopping.versions
+        return [
+            (key, runs.get(key, 0), stops.get(key, 0), self._stored_upto.get(key, 0))
+            for key in upstreams
+        ]
 
     def resend_if_outdated(self, name: str, applied: tuple[int, int]) -> None:
         """Send a VM its last orders again if it has applied older ones.
@@ -79,16 +93,20 @@
         if sent is not None and applied < sent[0]:
             self._send_to(name, sent[0][0], sent[1])
 
-    def _send_to(self, name: str, term: int, orders: list[UpstreamOrders]) -> None:
-        """Send orders, which extend leases as far as the newest grant does."""
+    def _send_to(self, name: str, term: int, orders: list[UpstreamOrders]) -> bool:
+        """Send orders, which extend leases as far as the newest grant does.
+
+        Returns whether there is such a grant.
+        """
         echo_s = self._fleet.vms[name].granted_clock_s
         if echo_s is None:
-            return
+            return False
         self._last_number += 1
         self._sent[name] = ((term, self._last_number), orders)
         number, validity_s = self._last_number, self.validity_s
         message = VmOrders(term, number, echo_s, orders, unix_ms(), validity_s)
         self._send(name, message)
+        return True
 
     def _orders(self, key: str) -> UpstreamOrders:
         runs, stopping = [], []
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -235,10 +235,9 @@
         plan = self._run_policy(inputs, waiting)
         for unit, reason in plan.stops:
             tasks = changes.tasks(unit.step)
-            for index in unit.indices:
-                self._stopping.add(
-                    (unit.step.task_name(index), tasks[index].run), reason
-                )
+            for index, upstream in zip(unit.indices, unit.upstreams, strict=True):
+                run = (unit.step.task_name(index), tasks[index].run)
+                self._stopping.add(run, upstream, reason)
         self._record_starts(plan, changes, waited_s)
 
     def _policy_inputs(self) -> PolicyInputs:
--- a/src/hyssoprill/coordination/planner/runs.py
+++ b/src/hyssoprill/coordination/planner/runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from ...clock import unix_ms
@@ -17,19 +18,27 @@
     """Runs that have to stop, each with the reason.
 
     They are not stored: a new planner decides again which runs have to stop.
+
+    Attributes
+    ----------
+    versions : dict
+        For each upstream key a number that rises as the requests for its open runs
+        change.
     """
 
     def __init__(self) -> None:
+        self.versions: dict[str, int] = defaultdict(int)
         self._reasons: dict[RunKey, str] = {}
 
     def __contains__(self, key: RunKey) -> bool:
         return key in self._reasons
 
-    def add(self, key: RunKey, reason: str) -> None:
+    def add(self, key: RunKey, upstream: str, reason: str) -> None:
         """Request that a run stops; the reason of an earlier request is kept."""
         if key not in self._reasons:
             decision("run_to_stop", task=key[0], run=key[1], why=reason)
             self._reasons[key] = reason
+            self.versions[upstream] += 1
 
     def reason(self, key: RunKey) -> str:
         """Return why a run has to stop, or '' if no stop was requested."""
@@ -37,6 +46,8 @@
 
     def retain(self, open_runs: dict[str, dict[str, OpenRun]]) -> None:
         """Drop the requests for runs that are no longer open."""
+        if not self._reasons:
+            return
         still_open = {
             (task, run.run) for runs in open_runs.values() for task, run in runs.items()
         }
@@ -46,6 +57,8 @@
     def clear(self) -> None:
         """Drop all requests, at the start of a term."""
         self._reasons.clear()
+        for upstream in self.versions:
+            self.versions[upstream] += 1
 
 
 def elapsed_s(task: TaskState) -> float:
--- a/src/hyssoprill/coordination/planner/stopping.py
+++ b/src/hyssoprill/coordination/planner/stopping.py
@@ -79,7 +79,8 @@
                 task = state.tasks[index]
                 why = "an earlier run is done" if task.done_run else reason
                 if why:
-                    self.stopping.add((key.task_name(index), task.run), why)
+                    run = (key.task_name(index), task.run)
+                    self.stopping.add(run, task.upstream, why)
 
     def _stop_stalled(
         self, upstream: str, task: str, run_number: int, stalled_s: float
@@ -93,7 +94,7 @@
             self.failures.record_failure(
                 upstream, run.step.job_id, run_number, boottime_s()
             )
-            self.stopping.add((task, run_number), "no progress")
+            self.stopping.add((task, run_number), upstream, "no progress")
 
     def _stop_draining(self, upstream: str, upstream_remaining_s: float) -> None:
         """Request stops of the runs to migrate off a draining upstream."""
@@ -102,7 +103,7 @@
             step = job_state.job.steps[run.step.step]
             remaining_s = self.run_times.remaining_s(job_state, run.step, run.index)
             if should_migrate(step, remaining_s, upstream_remaining_s):
-                self.stopping.add((task, run.run), "upstream leaves")
+                self.stopping.add((task, run.run), upstream, "upstream leaves")
 
     def _withdraw_excess(self, report: UpstreamReport) -> None:
         """Request stops of runs yet to start on an upstream whose capacity has shrunk.
@@ -128,9 +129,10 @@
         job_state = self.job_table.jobs[run.step.job_id]
         tasks = job_state.step_state(run.step.occurrence, run.step.step).tasks
         for index in indices:
-            if tasks[index].phase == OPEN:
-                task = run.step.task_name(index)
-                self.stopping.add((task, tasks[index].run), "capacity shrank")
+            task = tasks[index]
+            if task.phase == OPEN:
+                key = (run.step.task_name(index), task.run)
+                self.stopping.add(key, task.upstream, "capacity shrank")
 
     def _total_need(self, runs: Iterable[OpenRun]) -> ResourceAmounts:
         total = ZERO_AMOUNTS
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -165,6 +165,9 @@
         Jobs that may still start tasks or have open runs.
     open_runs : dict
         For each upstream key its open runs by task name.
+    open_runs_versions : dict
+        For each upstream key a number that rises as its open runs or the states of
+        their tasks change.
     term : Term or None
         The newest planner's term that was read.
     vacated_term : int
@@ -178,6 +181,7 @@
         self.jobs: dict[str, JobState] = {}
         self.active: dict[str, JobState] = {}
         self.open_runs: dict[str, dict[str, OpenRun]] = defaultdict(dict)
+        self.open_runs_versions: dict[str, int] = defaultdict(int)
         self.term: Term | None = None
         self.vacated_term = 0
         self.known_capacities = KnownCapacities()
@@ -281,15 +285,21 @@
     def _set_step(self, job_state: JobState, key: StepKey, state: StepState) -> None:
         """Replace a step's state and keep `open_runs` consistent with it."""
         old = job_state.steps.get(key[1:])
-        for index, task in enumerate(old.tasks if old is not None else ()):
-            if task.phase == OPEN:
-                self.open_runs[task.upstream].pop(key.task_name(index), None)
-        for index, task in enumerate(state.tasks):
-            if task.phase == OPEN:
-                run = OpenRun(key, index, task.run)
-                self.open_runs[task.upstream][key.task_name(index)] = run
+        if old is not None:
+            self._remove_open_runs(key, old)
+        for index in state.open_indices:
+            task = state.tasks[index]
+            run = OpenRun(key, index, task.run)
+            self.open_runs[task.upstream][key.task_name(index)] = run
+            self.open_runs_versions[task.upstream] += 1
         job_state.set_step(key.occurrence, key.step, state)
 
+    def _remove_open_runs(self, key: StepKey, state: StepState) -> None:
+        for index in state.open_indices:
+            upstream = state.tasks[index].upstream
+            self.open_runs[upstream].pop(key.task_name(index), None)
+            self.open_runs_versions[upstream] += 1
+
     def _update_active(self, job_state: JobState) -> None:
         """Keep a job in `active` while it may start tasks or has open runs."""
         if job_state.is_finished and not job_state.has_open_runs:
@@ -305,10 +315,7 @@
         if job_state is None:
             return
         for (occurrence, number), state in job_state.steps.items():
-            key = StepKey(job_id, occurrence, number)
-            for index, task in enumerate(state.tasks):
-                if task.phase == OPEN:
-                    self.open_runs[task.upstream].pop(key.task_name(index), None)
+            self._remove_open_runs(StepKey(job_id, occurrence, number), state)
 
 
 def _parse_job_id(key: str) -> str:
