--- a/src/hyssoprill/coordination/planner/closed_runs.py
+++ b/src/hyssoprill/coordination/planner/closed_runs.py
@@ -12,8 +12,10 @@
 from ...protocol.job import ZERO_AMOUNTS
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ...protocol.job import ResourceAmounts
-    from ...protocol.upstream_messages import UpstreamReport
+    from ...protocol.upstream_messages import RunReport
     from ...state.job_table import JobTable, StepKey
     from .fleet import Fleet
 
@@ -35,28 +37,32 @@
         """Return what such runs occupy of an upstream."""
         return self._used.get(upstream, ZERO_AMOUNTS)
 
-    def add(self, report: UpstreamReport, job_table: JobTable) -> None:
-        """Add the closed runs of an upstream's report."""
-        open_runs = job_table.open_runs.get(report.key, {})
-        for row in report.running:
-            run = open_runs.get(row.task)
-            if run is not None and run.run == row.run:
-                continue
+    def add(
+        self, upstream: str, rows: Iterable[RunReport], job_table: JobTable
+    ) -> None:
+        """Add closed runs of an upstream."""
+        for row in rows:
             found = job_table.find_task(row.task)
             if found is None:
                 continue
             key, index = found
             self.tasks.add(found)
             need = job_table.jobs[key.job_id].job.steps[key.step].need
-            self._used[report.key] = self.used(report.key).plus(need)
+            self._used[upstream] = self.used(upstream).plus(need)
 
 
 def find_closed_runs(fleet: Fleet, job_table: JobTable) -> ClosedRuns:
     """Return the closed runs that upstreams list, unless their leases have expired."""
     closed = ClosedRuns()
     for report in fleet.reports():
-        if report.running and not fleet.end_reason(report.key):
-            closed.add(report, job_table)
+        open_runs = job_table.open_runs.get(report.key, {})
+        rows = []
+        for row in report.running:
+            run = open_runs.get(row.task)
+            if run is None or run.run != row.run:
+                rows.append(row)
+        if rows and not fleet.end_reason(report.key):
+            closed.add(report.key, rows, job_table)
     return closed
 
 
--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -57,8 +57,8 @@
         for report in self.fleet.reports():
             with set_aside("upstream", report.key):
                 self._close_reported_by(report, changes)
-                numbers = [row.number for row in report.ended]
-                if numbers:
+                if report.ended:
+                    numbers = [row.number for row in report.ended]
                     highest_numbers[report.key] = max(numbers)
         for report in self.fleet.last_reports():
             with set_aside("upstream", report.key):
@@ -111,6 +111,8 @@
                     changes.record_checkpoint(run.step, run.index, row.checkpoint)
 
     def _close_reported_by(self, report: UpstreamReport, changes: StepChanges) -> None:
+        if not (report.ended or report.closed or report.refused):
+            return
         ends = [
             (row.task, row.run, row.outcome, row.checkpoint) for row in report.ended
         ]
--- a/src/hyssoprill/coordination/planner/failures.py
+++ b/src/hyssoprill/coordination/planner/failures.py
@@ -83,7 +83,9 @@
 
     def recent_failures(self, upstream: str, now_s: float) -> int:
         """Return how many recent failures count against an upstream."""
-        by_job = self._failures.get(upstream, {})
+        by_job = self._failures.get(upstream)
+        if not by_job:
+            return 0
         times = (at for runs in by_job.values() for at in runs.values())
         return sum(now_s - at < FAILURE_TTL_S for at in times)
 
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -95,8 +95,8 @@
         if not self._newest:
             for one in sorted(map(parse_upstream_key, self.upstreams)):
                 self._newest[one.vm, one.address] = one
-        newest = self._newest.get((key.vm, key.address))
-        return newest is not None and newest.supersedes(key)
+        newest = self._newest.get((key.vm, key.address), key)
+        return newest != key and newest.supersedes(key)
 
     def find_run(self, key: str, task: str, run: int) -> RunReport | None:
         """Return a run as that report lists it, None if it does not."""
@@ -199,10 +199,9 @@
         vm = self.vms.get(name)
         return vm is not None and boottime_s() - vm.last_contact_s < MAX_SILENCE_S
 
-    def reports(self) -> Iterator[UpstreamReport]:
-        """Yield the newest report of each upstream."""
-        for vm in self.vms.values():
-            yield from vm.upstreams.values()
+    def reports(self) -> list[UpstreamReport]:
+        """Return the newest report of each upstream."""
+        return [one for vm in self.vms.values() for one in vm.upstreams.values()]
 
     def last_reports(self) -> Iterator[UpstreamReport]:
         """Yield the last reports of upstream incarnations that have ended."""
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -202,7 +202,8 @@
     async def _append_capacities(self) -> None:
         """Store the largest known capacities for all entries when one is exceeded."""
         known = self._job_table.known_capacities
-        reported = ((one.group, one.capacity) for one in self._fleet.reports())
+        # Most upstreams are alike.
+        reported = {(one.group, one.capacity): None for one in self._fleet.reports()}
         capacities = known.extended(reported)
         if capacities is not known:
             await self._election.append(
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -309,10 +309,12 @@
         """Return in how many waves the objective lets a step run."""
         key = (group, step.need)
         if key not in self._fit_counts:
+            capacities = Counter(
+                [one.capacity for one in self.fleet.reports() if one.group == group]
+            )
             self._fit_counts[key] = sum(
-                one.capacity.fit_count(step.need, MAX_FIT_COUNT)
-                for one in self.fleet.reports()
-                if one.group == group
+                capacity.fit_count(step.need, MAX_FIT_COUNT) * number
+                for capacity, number in capacities.items()
             )
         return max(step.count / max(self._fit_counts[key] * WAVE_SHARE, 1.0), 1.0)
 
--- a/src/hyssoprill/coordination/planner/set_aside.py
+++ b/src/hyssoprill/coordination/planner/set_aside.py
@@ -2,27 +2,37 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
 from typing import TYPE_CHECKING, TypeVar
 
 from ...errors import StoreError
 from ...tasks import log_failure
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Sequence
+    from collections.abc import Callable, Sequence
 
 Input = TypeVar("Input")
 
 
-@contextmanager
-def set_aside(kind: str, name: str) -> Iterator[None]:
-    """Log an unexpected exception that an input raises, and go on without it."""
-    try:
-        yield
-    except StoreError:
-        raise
-    except Exception as exc:  # noqa: BLE001 - the other inputs are still served
-        log_failure(f"round of {kind} {name}", exc)
+class set_aside:  # noqa: N801 - used like a function
+    """Log an unexpected exception that an input raises, and go on without it.
+
+    A class, as rounds enter it for each job and upstream: a generator costs twice that.
+    """
+
+    __slots__ = ("_kind", "_name")
+
+    def __init__(self, kind: str, name: str) -> None:
+        self._kind = kind
+        self._name = name
+
+    def __enter__(self) -> None:
+        pass
+
+    def __exit__(self, _type: object, exc: BaseException | None, _tb: object) -> bool:
+        if not isinstance(exc, Exception) or isinstance(exc, StoreError):
+            return False
+        log_failure(f"round of {self._kind} {self._name}", exc)
+        return True
 
 
 def find_breaking(
