--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -29,6 +29,7 @@
 from .set_aside import find_breaking
 from .speeds import SpeedEstimates
 from .stopping import StopFinder
+from .upstream_runs import UpstreamRunsCache
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -93,7 +94,10 @@
         self._run_times = RunTimes(self._job_table, self._fleet)
         shared = (self._job_table, self._fleet, self._stopping)
         self._closer = RunCloser(*shared, self._failures, self._speeds, self._run_times)
-        self._stop_finder = StopFinder(*shared, self._failures, self._run_times)
+        self._upstream_runs = UpstreamRunsCache(self._job_table, self._stopping)
+        self._stop_finder = StopFinder(
+            *shared, self._failures, self._run_times, self._upstream_runs
+        )
         self._orders = OrderPublisher(*shared, send)
         self.set_bounds(bounds)
         self._waiting_since_s: dict[StepKey, float] = {}
@@ -217,7 +221,9 @@
             return
         self._last_drop_s = boottime_s()
         self._failures.retain(set(self._job_table.active), self._last_drop_s)
-        self._speeds.retain({one.key for one in self._fleet.reports()})
+        upstreams = {one.key for one in self._fleet.reports()}
+        self._speeds.retain(upstreams)
+        self._upstream_runs.retain(upstreams)
         self._run_times.model.retain(
             {one.job.queue for one in self._job_table.jobs.values()}
         )
@@ -251,6 +257,7 @@
             self._speeds,
             self._run_times,
             self._waiting_since_s,
+            self._upstream_runs,
         )
 
     def _run_policy(self, inputs: PolicyInputs, waiting: list[WaitingStep]) -> Plan:
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ...clock import boottime_s
+from ...protocol.job import ZERO_AMOUNTS
 from ...protocol.upstream_messages import FULL_PROGRESS_PERCENT
 from ...state.job_table import StepKey
 from ..policy.dispatch.model import (
@@ -25,13 +26,14 @@
 
     from ...protocol.job import ResourceAmounts, Step
     from ...protocol.upstream_messages import UpstreamReport
-    from ...state.job_table import JobState, JobTable, OpenRun, StepState
+    from ...state.job_table import JobState, JobTable, StepState
     from ...state.operator_config import OperatorConfig
     from .failures import FailureTracker
     from .fleet import Fleet
     from .run_times import RunTimes
     from .runs import StopRequests
     from .speeds import SpeedEstimates
+    from .upstream_runs import UpstreamRunsCache
 
 EXCLUDE_AFTER_FAILURES = 2
 """A job is not placed again on an upstream where this many of its runs have failed."""
@@ -57,6 +59,7 @@
     speeds: SpeedEstimates
     run_times: RunTimes
     waiting_since_s: dict[StepKey, float]
+    upstream_runs: UpstreamRunsCache
     _guaranteed_jobs: set[str] = field(init=False)
     _closed_runs: ClosedRuns = field(init=False)
     _fit_counts: dict[tuple[str, ResourceAmounts], int] = field(
@@ -91,18 +94,11 @@
     def _upstream_view(
         self, report: UpstreamReport, recent_failures: int
     ) -> UpstreamView:
-        used = releasing = self._closed_runs.used(report.key)
-        is_costly = is_serving = is_filling = False
-        open_runs = self.job_table.open_runs.get(report.key, {})
-        for task, run in open_runs.items():
-            step = self._step(run.step)
-            used = used.plus(step.need)
-            is_serving |= step.target_ms > 0
-            is_filling |= step.fills
-            if (task, run.run) in self.stopping:
-                releasing = releasing.plus(step.need)
-            else:
-                is_costly |= not step.checkpoints and self._priority(run.step) > 0
+        runs = self.upstream_runs.find(report)
+        closed = self._closed_runs.used(report.key)
+        used, releasing = runs.used, runs.releasing
+        if closed is not ZERO_AMOUNTS:
+            used, releasing = used.plus(closed), releasing.plus(closed)
         return UpstreamView(
             report.key,
             report.zone,
@@ -113,30 +109,15 @@
             report.capacity.minus(used),
             releasing,
             recent_failures,
-            is_costly,
+            runs.is_costly,
             self.speeds.relative_speed(report.key),
-            is_serving,
-            is_filling,
-            not open_runs,
-            *self._starting_jobs(report, open_runs),
+            runs.is_serving,
+            runs.is_filling,
+            not self.job_table.open_runs.get(report.key),
+            set(runs.starting_jobs),
+            set(runs.suspects),
         )
 
-    def _starting_jobs(
-        self, report: UpstreamReport, open_runs: dict[str, OpenRun]
-    ) -> tuple[set[str], set[str]]:
-        """Return the jobs with runs that an upstream has not listed, and suspects."""
-        listed = {(row.task, row.run) for row in report.running}
-        starting, suspects = set(), set()
-        for task, run in open_runs.items():
-            if (task, run.run) in listed:
-                continue
-            starting.add(run.step.job_id)
-            job_state = self.job_table.jobs[run.step.job_id]
-            state = job_state.step_state(run.step.occurrence, run.step.step)
-            if state.tasks[run.index].crashed_vms:
-                suspects.add(run.step.job_id)
-        return starting, suspects
-
     def waiting_steps(self, now_ms: int) -> list[WaitingStep]:
         """Return the ready steps with tasks to place, and update `waiting_since_s`."""
         found: list[WaitingStep] = []
@@ -339,12 +320,6 @@
                     guaranteed.add(job_id)
         return guaranteed
 
-    def _priority(self, key: StepKey) -> int:
-        return self.job_table.jobs[key.job_id].job.priority
-
-    def _step(self, key: StepKey) -> Step:
-        return self.job_table.jobs[key.job_id].job.steps[key.step]
-
 
 def rack_of(report: UpstreamReport) -> str:
     """Return the rack of an upstream, or '' if its labels name none."""
--- a/src/hyssoprill/coordination/planner/stopping.py
+++ b/src/hyssoprill/coordination/planner/stopping.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from ...clock import boottime_s, unix_ms
-from ...protocol.job import ZERO_AMOUNTS
 from ...state.job_table import OPEN, StepKey
 from ..policy.dispatch.draining import should_migrate
 from ..policy.dispatch.stalled_runs import should_restart
@@ -14,15 +13,14 @@
 from .set_aside import set_aside
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from ...protocol.job import ResourceAmounts, Step
+    from ...protocol.job import Step
     from ...protocol.upstream_messages import UpstreamReport
     from ...state.job_table import JobState, JobTable, OpenRun, TaskState
     from .failures import FailureTracker
     from .fleet import Fleet
     from .run_times import RunTimes
     from .runs import StopRequests
+    from .upstream_runs import UpstreamRunsCache
 
 MAX_LISTING_DELAY_S = 1.2
 """A run that an upstream has started is reported as running within this time.
@@ -44,6 +42,7 @@
     stopping: StopRequests
     failures: FailureTracker
     run_times: RunTimes
+    upstream_runs: UpstreamRunsCache
 
     def request_stops(self) -> None:
         """Request a stop of each run that has to stop now."""
@@ -111,14 +110,10 @@
         Runs that it lists go on, and those being stopped count until they have ended.
         So none of the others may start; they are planned again on what is left.
         """
-        open_runs = self.job_table.open_runs.get(report.key, {})
-        listed = {row.task: row.run for row in report.running}
-        pending = [
-            run for task, run in open_runs.items() if listed.get(task) != run.run
-        ]
-        if not pending or report.capacity.covers(self._total_need(open_runs.values())):
+        runs = self.upstream_runs.find(report)
+        if not runs.unlisted or report.capacity.covers(runs.used):
             return
-        for run in pending:
+        for run in runs.unlisted:
             step, state = self._look_up(run)
             if not _may_be_unlisted(state):
                 self._withdraw(run, step)
@@ -134,13 +129,6 @@
                 key = (run.step.task_name(index), task.run)
                 self.stopping.add(key, task.upstream, "capacity shrank")
 
-    def _total_need(self, runs: Iterable[OpenRun]) -> ResourceAmounts:
-        total = ZERO_AMOUNTS
-        for run in runs:
-            step = self.job_table.jobs[run.step.job_id].job.steps[run.step.step]
-            total = total.plus(step.need)
-        return total
-
     def _look_up(self, run: OpenRun) -> tuple[Step, TaskState]:
         job_state = self.job_table.jobs[run.step.job_id]
         state = job_state.step_state(run.step.occurrence, run.step.step)
--- a/tests/coordination/planner/test_run_times.py
+++ b/tests/coordination/planner/test_run_times.py
@@ -12,6 +12,7 @@
 from hyssoprill.coordination.planner.run_times import RunTimes
 from hyssoprill.coordination.planner.runs import StopRequests
 from hyssoprill.coordination.planner.speeds import SpeedEstimates
+from hyssoprill.coordination.planner.upstream_runs import UpstreamRunsCache
 from hyssoprill.protocol.job import Job, ResourceAmounts, Step
 from hyssoprill.protocol.upstream_messages import UpstreamReport, VmReport
 from hyssoprill.state.job_table import DONE, JobTable, StepState, TaskState
@@ -51,15 +52,17 @@
 
     def slack_s(self, job: Job) -> float:
         """Return the slack of a waiting job, as the policy is told."""
+        stopping = StopRequests()
         inputs = PolicyInputs(
             self.job_table,
             self.fleet,
             OperatorConfig(),
-            StopRequests(),
+            stopping,
             FailureTracker(),
             SpeedEstimates(),
             self.run_times(),
             {},
+            UpstreamRunsCache(self.job_table, stopping),
         )
         waiting = inputs.waiting_steps(unix_ms())
         (step,) = [one for one in waiting if one.job.id == job.id]
