--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -133,6 +133,8 @@
     of the last attempt first, if the remaining upstreams could not run a task even when
     empty.
     """
+    if not step.excluded_upstreams and not step.is_last_attempt:
+        return candidates
     for is_allowed in (
         lambda one: (
             one.key not in step.excluded_upstreams
--- a/src/hyssoprill/coordination/policy/dispatch/headroom.py
+++ b/src/hyssoprill/coordination/policy/dispatch/headroom.py
@@ -12,6 +12,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from .placement import with_room
+
 if TYPE_CHECKING:
     from .model import UpstreamView, WaitingStep
 
@@ -42,21 +44,21 @@
     if not step.is_costly_to_preempt or step.step.gang or step.slack_s < min_slack_s:
         return candidates
     group = [one for one in upstreams if one.group == step.job.group]
-    clear = sum(not one.hosts_costly_work for one in group)
+    costly_per_rack = Counter([one.rack for one in group if one.hosts_costly_work])
+    clear = len(group) - costly_per_rack.total()
     usable = max(clear - int(HEADROOM_SHARE * len(group)), 0)
-    costly_per_rack = Counter(one.rack for one in group if one.hosts_costly_work)
     hosts = [one for one in candidates if one.hosts_costly_work]
     others = [one for one in candidates if not one.hosts_costly_work]
-    others.sort(
+    fitting = [one for one, _free in with_room(step.step.need, others)]
+    fitting.sort(
         key=lambda one: (
             one.key in step.deprioritized_upstreams,
             one.penalty,
-            -costly_per_rack[one.rack],
+            -costly_per_rack.get(one.rack, 0),
             one.free.accelerators,
             one.key,
         )
     )
-    fitting = [one for one in others if one.free.covers(step.step.need)]
     return hosts + fitting[:usable]
 
 
--- a/src/hyssoprill/coordination/policy/dispatch/idle_pool.py
+++ b/src/hyssoprill/coordination/policy/dispatch/idle_pool.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from ....protocol.job import ZERO_AMOUNTS
+from .placement import with_room
 
 if TYPE_CHECKING:
     from .model import UpstreamView, WaitingStep
@@ -37,13 +37,18 @@
     if step.waited_s < MAX_IDLE_WAIT_S:
         return False
     group = [one for one in upstreams if one.group == step.job.group]
-    wanted = FIT_TIMES * len(step.indices)
-    fits = sum(one.free.fit_count(step.step.need, wanted) for one in group)
-    if fits < wanted:
+    if not _is_idle(group):
         return False
-    capacity = free = ZERO_AMOUNTS
-    for one in group:
-        capacity, free = capacity.plus(one.capacity), free.plus(one.free)
+    wanted = FIT_TIMES * len(step.indices)
+    need = step.step.need
+    fits = [free.fit_count(need, wanted) for _one, free in with_room(need, group)]
+    return sum(fits) >= wanted
+
+
+def _is_idle(group: list[UpstreamView]) -> bool:
+    """Return whether less than `IDLE_SHARE` of one resource of a group is in use."""
+    capacity = map(sum, zip(*[one.capacity for one in group], strict=True))
+    free = map(sum, zip(*[one.free for one in group], strict=True))
     return any(
         left > (1 - IDLE_SHARE) * whole
         for left, whole in zip(free, capacity, strict=True)
--- a/src/hyssoprill/coordination/policy/dispatch/placement.py
+++ b/src/hyssoprill/coordination/policy/dispatch/placement.py
@@ -11,24 +11,28 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
+from ....protocol.job import ZERO_AMOUNTS
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ....protocol.job import ResourceAmounts, Step
+    from ....protocol.job import ResourceAmounts
     from .model import UpstreamView, WaitingStep
 
     FreeCapacity = Callable[[UpstreamView], ResourceAmounts]
 
 
-def free_now(upstream: UpstreamView) -> ResourceAmounts:
-    """Return the capacity that can be used at once."""
-    return upstream.free
+free_now: FreeCapacity = attrgetter("free")
+"""Returns the capacity of an upstream that can be used at once."""
 
 
 def free_after_stops(upstream: UpstreamView) -> ResourceAmounts:
     """Return the capacity that is free now or once pending stops have finished."""
+    if upstream.releasing == ZERO_AMOUNTS:
+        return upstream.free
     return upstream.free.plus(upstream.releasing)
 
 
@@ -37,20 +41,33 @@
 ) -> list[UpstreamView]:
     """Return the upstreams that match a step's group, label and interference rules."""
     label, group = step.step.label, step.job.group
+    fills, serves = step.step.fills, step.step.target_ms > 0
     return [
         one
         for one in upstreams
         if one.group == group
         and (not label or label in one.labels)
-        and not _interferes(step.step, one)
+        and not (fills and one.has_serving_tasks)
+        and not (serves and one.has_filling_tasks)
     ]
 
 
-def _interferes(step: Step, upstream: UpstreamView) -> bool:
-    """Return whether a step would put filling and serving tasks on one upstream."""
-    return (step.fills and upstream.has_serving_tasks) or (
-        step.target_ms > 0 and upstream.has_filling_tasks
-    )
+def with_room(
+    need: ResourceAmounts,
+    upstreams: Iterable[UpstreamView],
+    free_capacity: FreeCapacity = free_now,
+) -> list[tuple[UpstreamView, ResourceAmounts]]:
+    """Return the upstreams with room for a task, each with its free capacity.
+
+    As `covers` tells, without a call for each of the many that are full.
+    """
+    accelerators, millicores, memory_mb = need
+    found = []
+    for one in upstreams:
+        free = free_capacity(one)
+        if free[0] >= accelerators and free[1] >= millicores and free[2] >= memory_mb:
+            found.append((one, free))
+    return found
 
 
 def place_gang(
@@ -66,15 +83,15 @@
     several racks only if `spread` allows it or no rack could hold it even when empty.
     """
     wanted = len(step.indices)
+    counts = _count_fits(step, candidates, free_capacity)
+    if sum(counts.values()) < wanted:
+        return None
     if step.step.rack_sensitive:
-        placed_on = _best_fit_rack(step, candidates, free_capacity, wanted)
+        placed_on = _best_fit_rack(step, candidates, counts, wanted, free_capacity)
         if placed_on is not None:
             return placed_on
         if not spread and fits_empty_rack(step, candidates):
             return None
-    counts = _count_fits(step, candidates, free_capacity)
-    if sum(counts.values()) < wanted:
-        return None
     return _assign(step, candidates, counts, wanted, free_capacity)
 
 
@@ -142,9 +159,10 @@
     step: WaitingStep, candidates: list[UpstreamView], free_capacity: FreeCapacity
 ) -> dict[str, int]:
     """Return how many waiting tasks fit on each upstream that fits at least one."""
+    need, wanted = step.step.need, len(step.indices)
     counts = {}
-    for upstream in candidates:
-        fits = count_fits_on(step, upstream, free_capacity)
+    for upstream, free in with_room(need, candidates, free_capacity):
+        fits = _cap_per_upstream(step, upstream, free.fit_count(need, wanted))
         if fits:
             counts[upstream.key] = fits
     return counts
@@ -153,11 +171,11 @@
 def _best_fit_rack(
     step: WaitingStep,
     candidates: list[UpstreamView],
-    free_capacity: FreeCapacity,
+    counts: dict[str, int],
     wanted: int,
+    free_capacity: FreeCapacity,
 ) -> list[UpstreamView] | None:
     """Place all tasks on the rack with the fewest failures, then the tightest fit."""
-    counts = _count_fits(step, candidates, free_capacity)
     racks: dict[str, list[UpstreamView]] = defaultdict(list)
     for upstream in candidates:
         if upstream.key in counts:
@@ -182,21 +200,22 @@
     free_capacity: FreeCapacity,
 ) -> list[UpstreamView]:
     """Return upstreams for `wanted` tasks, filling the preferred upstreams first."""
-    data_rack = step.step.data_rack
+    data_rack, need = step.step.data_rack, step.step.need
+    is_urgent, is_costly = step.is_urgent, step.is_costly_to_preempt
 
     def preference(
         one: UpstreamView,
     ) -> tuple[bool, bool, bool, int, float, bool, int, int, str]:
-        left = free_capacity(one).minus(step.step.need)
+        free = free_capacity(one)
         return (
             one.key in step.deprioritized_upstreams,
             step.is_suspect and not one.is_idle,
             bool(data_rack) and one.rack != data_rack,
             one.penalty,
-            -round(one.speed, 1) if step.is_urgent else 0.0,
-            one.hosts_costly_work != step.is_costly_to_preempt,
-            left.accelerators,
-            left.millicores,
+            -round(one.speed, 1) if is_urgent else 0.0,
+            one.hosts_costly_work != is_costly,
+            free.accelerators - need.accelerators,
+            free.millicores - need.millicores,
             one.key,
         )
 
@@ -220,4 +239,5 @@
     "place_gang",
     "place_tasks",
     "reserve",
+    "with_room",
 ]
--- a/src/hyssoprill/coordination/policy/dispatch/suspects.py
+++ b/src/hyssoprill/coordination/policy/dispatch/suspects.py
@@ -21,7 +21,12 @@
 
     A step covered by a guarantee may start beside a suspect, as it must not wait.
     """
-    return [one for one in candidates if _is_apart(step, one)]
+    own = {step.job.id}
+    if step.is_suspect:
+        return [one for one in candidates if one.starting_jobs <= own]
+    if step.within_guarantee:
+        return candidates
+    return [one for one in candidates if one.starting_suspects <= own]
 
 
 def hold_upstream(step: WaitingStep, candidates: list[UpstreamView]) -> None:
@@ -43,10 +48,4 @@
         upstream.starting_suspects.add(step.job.id)
 
 
-def _is_apart(step: WaitingStep, upstream: UpstreamView) -> bool:
-    if step.is_suspect:
-        return upstream.starting_jobs <= {step.job.id}
-    return step.within_guarantee or upstream.starting_suspects <= {step.job.id}
-
-
 __all__ = ["hold_upstream", "record_start", "separate_suspects"]
