--- a/src/hyssoprill/coordination/planner/closed_runs.py
+++ b/src/hyssoprill/coordination/planner/closed_runs.py
@@ -28,14 +28,12 @@
     ----------
     tasks : set of tuple
         Step and index of their tasks.
+    used : dict
+        What they occupy of their upstreams, by key.
     """
 
     tasks: set[tuple[StepKey, int]] = field(default_factory=set)
-    _used: dict[str, ResourceAmounts] = field(default_factory=dict)
-
-    def used(self, upstream: str) -> ResourceAmounts:
-        """Return what such runs occupy of an upstream."""
-        return self._used.get(upstream, ZERO_AMOUNTS)
+    used: dict[str, ResourceAmounts] = field(default_factory=dict)
 
     def add(
         self, upstream: str, rows: Iterable[RunReport], job_table: JobTable
@@ -48,7 +46,7 @@
             key, index = found
             self.tasks.add(found)
             need = job_table.jobs[key.job_id].job.steps[key.step].need
-            self._used[upstream] = self.used(upstream).plus(need)
+            self.used[upstream] = self.used.get(upstream, ZERO_AMOUNTS).plus(need)
 
 
 def find_closed_runs(fleet: Fleet, job_table: JobTable) -> ClosedRuns:
--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -53,16 +53,21 @@
         dict
             For each upstream the highest number of the ends that it reported.
         """
-        highest_numbers = {}
-        for report in self.fleet.reports():
-            with set_aside("upstream", report.key):
-                self._close_reported_by(report, changes)
-                if report.ended:
-                    numbers = [row.number for row in report.ended]
-                    highest_numbers[report.key] = max(numbers)
-        for report in self.fleet.last_reports():
-            with set_aside("upstream", report.key):
-                self._close_reported_by(report, changes)
+        highest_numbers: dict[str, int] = {}
+
+        def close(report: UpstreamReport) -> None:
+            self._close_reported_by(report, changes)
+            if report.ended:
+                numbers = [row.number for row in report.ended]
+                highest_numbers[report.key] = max(numbers)
+
+        def close_last(report: UpstreamReport) -> None:
+            self._close_reported_by(report, changes)
+
+        newest = [(one.key, one) for one in self.fleet.reports()]
+        last = [(one.key, one) for one in self.fleet.last_reports()]
+        set_aside("upstream", newest, close)
+        set_aside("upstream", last, close_last)
         return highest_numbers
 
     def close_expired(self, changes: StepChanges) -> None:
@@ -70,11 +75,16 @@
 
         Runs that a later incarnation may execute stay open until they are settled.
         """
-        for key, runs in self.job_table.open_runs.items():
-            with set_aside("upstream", key):
-                reason = self.fleet.end_reason(key) if runs else ""
-                if reason:
-                    self._close_runs(changes, key, runs, reason)
+
+        def close(key: str) -> None:
+            reason = self.fleet.end_reason(key)
+            if reason:
+                self._close_runs(changes, key, self.job_table.open_runs[key], reason)
+
+        open_runs = self.job_table.open_runs
+        set_aside(
+            "upstream", [(key, key) for key in open_runs if open_runs[key]], close
+        )
 
     def _close_runs(
         self, changes: StepChanges, key: str, runs: dict[str, OpenRun], reason: str
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -86,6 +86,10 @@
         self._listed.clear()
         self._newest.clear()
 
+    def is_responsive(self, now_s: float) -> bool:
+        """Return whether the VM was in contact recently enough to get starts."""
+        return now_s - self.last_contact_s < MAX_SILENCE_S
+
     def find(self, key: str) -> UpstreamReport | None:
         """Return the newest, or the last, report of an upstream incarnation."""
         return self.upstreams.get(key) or self.last_reports.get(key)
@@ -194,11 +198,6 @@
             vm.confirmed_s = min(sent_s, vm.last_contact_s)
         return vm
 
-    def is_responsive(self, name: str) -> bool:
-        """Return whether a VM was in contact recently enough to get starts."""
-        vm = self.vms.get(name)
-        return vm is not None and boottime_s() - vm.last_contact_s < MAX_SILENCE_S
-
     def reports(self) -> list[UpstreamReport]:
         """Return the newest report of each upstream."""
         return [one for vm in self.vms.values() for one in vm.upstreams.values()]
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -4,10 +4,10 @@
 
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ...clock import boottime_s
-from ...protocol.job import ZERO_AMOUNTS
 from ...protocol.upstream_messages import FULL_PROGRESS_PERCENT
 from ...state.job_table import StepKey
 from ..policy.dispatch.model import (
@@ -75,30 +75,24 @@
 
         Those that seem to fail everything they start are excluded, unless all do.
         """
-        views = []
         now_s = boottime_s()
-        for name, vm in self.fleet.vms.items():
-            if not self.fleet.is_responsive(name):
-                continue
-            for report in vm.upstreams.values():
-                if (
-                    not report.accepting
-                    or report.zone in self.operator_config.zones_out
-                ):
-                    continue
-                with set_aside("upstream", report.key):
-                    recent_failures = self.failures.recent_failures(report.key, now_s)
-                    views.append(self._upstream_view(report, recent_failures))
+        reports = [
+            (report.key, report)
+            for vm in self.fleet.vms.values()
+            if vm.is_responsive(now_s)
+            for report in vm.upstreams.values()
+            if report.accepting and report.zone not in self.operator_config.zones_out
+        ]
+        view = partial(self._upstream_view, now_s=now_s)
+        views = set_aside("upstream", reports, view)
         return [one for one in views if one.penalty < EXCLUDE_AT_FAILURES] or views
 
-    def _upstream_view(
-        self, report: UpstreamReport, recent_failures: int
-    ) -> UpstreamView:
+    def _upstream_view(self, report: UpstreamReport, *, now_s: float) -> UpstreamView:
         runs = self.upstream_runs.find(report)
-        closed = self._closed_runs.used(report.key)
-        used, releasing = runs.used, runs.releasing
-        if closed is not ZERO_AMOUNTS:
-            used, releasing = used.plus(closed), releasing.plus(closed)
+        free, releasing = runs.free, runs.releasing
+        if report.key in self._closed_runs.used:
+            closed = self._closed_runs.used[report.key]
+            free, releasing = free.minus(closed), releasing.plus(closed)
         return UpstreamView(
             report.key,
             report.zone,
@@ -106,9 +100,9 @@
             report.group,
             frozenset(report.labels),
             report.capacity,
-            report.capacity.minus(used),
+            free,
             releasing,
-            recent_failures,
+            self.failures.recent_failures(report.key, now_s),
             runs.is_costly,
             self.speeds.relative_speed(report.key),
             runs.is_serving,
@@ -121,13 +115,14 @@
     def waiting_steps(self, now_ms: int) -> list[WaitingStep]:
         """Return the ready steps with tasks to place, and update `waiting_since_s`."""
         found: list[WaitingStep] = []
-        for job_state in self.job_table.active.values():
-            with set_aside("job", job_state.job.id):
-                if not job_state.is_finished:
-                    found += self._waiting_steps_of(job_state, now_ms)
+        work = partial(self._waiting_steps_of, now_ms=now_ms)
+        for steps in set_aside("job", self.job_table.active.items(), work):
+            found += steps
         return found
 
     def _waiting_steps_of(self, job_state: JobState, now_ms: int) -> list[WaitingStep]:
+        if job_state.is_finished:
+            return []
         now_s = boottime_s()
         found = []
         for occurrence, number, step in job_state.ready_steps(now_ms):
@@ -196,15 +191,18 @@
 
     def running_units(self) -> Iterator[RunningUnit]:
         """Yield the running units that may be preempted and are not being stopped."""
-        for job_state in self.job_table.active.values():
-            units = []
-            with set_aside("job", job_state.job.id):
-                for (occurrence, number), state in job_state.steps.items():
-                    key = StepKey(job_state.job.id, occurrence, number)
-                    step = job_state.job.steps[number]
-                    units += self._running_units_of(job_state, key, step, state)
+        work = self._running_units_of_job
+        for units in set_aside("job", self.job_table.active.items(), work):
             yield from units
 
+    def _running_units_of_job(self, job_state: JobState) -> list[RunningUnit]:
+        units = []
+        for (occurrence, number), state in job_state.steps.items():
+            key = StepKey(job_state.job.id, occurrence, number)
+            step = job_state.job.steps[number]
+            units += self._running_units_of(job_state, key, step, state)
+        return units
+
     def _running_units_of(
         self,
         job_state: JobState,
--- a/src/hyssoprill/coordination/planner/run_times.py
+++ b/src/hyssoprill/coordination/planner/run_times.py
@@ -31,9 +31,7 @@
     def rebuild(self) -> None:
         """Learn again from the jobs in the job table, at the start of a term."""
         self.model.clear()
-        for job_state in self.job_table.jobs.values():
-            with set_aside("job", job_state.job.id):
-                self._record_runs(job_state)
+        set_aside("job", self.job_table.jobs.items(), self._record_runs)
 
     def _record_runs(self, job_state: JobState) -> None:
         for (_occurrence, number), state in job_state.steps.items():
--- a/src/hyssoprill/coordination/planner/set_aside.py
+++ b/src/hyssoprill/coordination/planner/set_aside.py
@@ -8,31 +8,29 @@
 from ...tasks import log_failure
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
 Input = TypeVar("Input")
+Result = TypeVar("Result")
 
 
-class set_aside:  # noqa: N801 - used like a function
-    """Log an unexpected exception that an input raises, and go on without it.
+def set_aside(
+    kind: str, inputs: Iterable[tuple[str, Input]], work: Callable[[Input], Result]
+) -> list[Result]:
+    """Return the results of the work on each named input, without those that break it.
 
-    A class, as rounds enter it for each job and upstream: a generator costs twice that.
+    Their exceptions are logged. A loop in place of a context manager, as rounds go
+    through all jobs and upstreams.
     """
-
-    __slots__ = ("_kind", "_name")
-
-    def __init__(self, kind: str, name: str) -> None:
-        self._kind = kind
-        self._name = name
-
-    def __enter__(self) -> None:
-        pass
-
-    def __exit__(self, _type: object, exc: BaseException | None, _tb: object) -> bool:
-        if not isinstance(exc, Exception) or isinstance(exc, StoreError):
-            return False
-        log_failure(f"round of {self._kind} {self._name}", exc)
-        return True
+    results = []
+    for name, one in inputs:
+        try:
+            results.append(work(one))
+        except StoreError:
+            raise
+        except Exception as exc:  # noqa: BLE001 - the other inputs are still served
+            log_failure(f"round of {kind} {name}", exc)
+    return results
 
 
 def find_breaking(
--- a/src/hyssoprill/coordination/planner/stopping.py
+++ b/src/hyssoprill/coordination/planner/stopping.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ...clock import boottime_s, unix_ms
+from ...protocol.job import ZERO_AMOUNTS
 from ...state.job_table import OPEN, StepKey
 from ..policy.dispatch.draining import should_migrate
 from ..policy.dispatch.stalled_runs import should_restart
@@ -46,16 +47,20 @@
 
     def request_stops(self) -> None:
         """Request a stop of each run that has to stop now."""
-        for job_state in list(self.job_table.active.values()):
-            with set_aside("job", job_state.job.id):
-                self._stop_job(job_state)
-        for vm in self.fleet.vms.values():
-            for report in vm.upstreams.values():
-                with set_aside("upstream", report.key):
-                    self._stop_on_upstream(report, vm.agent_clock_s)
-
-    def _stop_on_upstream(self, report: UpstreamReport, agent_clock_s: float) -> None:
-        """Request stops of runs that are stalled there, or that it has no room for."""
+        set_aside("job", self.job_table.active.items(), self._stop_job)
+        reports = [
+            (report.key, (report, vm.agent_clock_s))
+            for vm in self.fleet.vms.values()
+            for report in vm.upstreams.values()
+        ]
+        set_aside("upstream", reports, self._stop_on_upstream)
+
+    def _stop_on_upstream(self, reported: tuple[UpstreamReport, float]) -> None:
+        """Request stops of runs that are stalled there, or that it has no room for.
+
+        `reported` is its report, and the newest clock of its agent.
+        """
+        report, agent_clock_s = reported
         for task, number, since_s in report.stalled:
             self._stop_stalled(report.key, task, number, agent_clock_s - since_s)
         if report.draining:
@@ -111,7 +116,7 @@
         So none of the others may start; they are planned again on what is left.
         """
         runs = self.upstream_runs.find(report)
-        if not runs.unlisted or report.capacity.covers(runs.used):
+        if not runs.unlisted or runs.free.covers(ZERO_AMOUNTS):
             return
         for run in runs.unlisted:
             step, state = self._look_up(run)
--- a/src/hyssoprill/coordination/planner/upstream_runs.py
+++ b/src/hyssoprill/coordination/planner/upstream_runs.py
@@ -20,8 +20,8 @@
 
     Attributes
     ----------
-    used, releasing : ResourceAmounts
-        In use by all of them, and by those that are being stopped.
+    free, releasing : ResourceAmounts
+        Not in use by any of them, and in use by those that are being stopped.
     is_costly : bool
         Whether one of the others is costly to preempt.
     is_serving, is_filling : bool
@@ -32,7 +32,7 @@
         The jobs of these, and those whose tasks may crash the upstream.
     """
 
-    used: ResourceAmounts = ZERO_AMOUNTS
+    free: ResourceAmounts
     releasing: ResourceAmounts = ZERO_AMOUNTS
     is_costly: bool = False
     is_serving: bool = False
@@ -68,13 +68,13 @@
             del self._known[key]
 
     def _sum_up(self, report: UpstreamReport) -> UpstreamRuns:
-        found = UpstreamRuns()
+        found = UpstreamRuns(report.capacity)
         listed = {(row.task, row.run) for row in report.running}
         suspects = set()
         for task, run in self._job_table.open_runs.get(report.key, {}).items():
             job_state = self._job_table.jobs[run.step.job_id]
             step = job_state.job.steps[run.step.step]
-            found.used = found.used.plus(step.need)
+            found.free = found.free.minus(step.need)
             found.is_serving |= step.target_ms > 0
             found.is_filling |= step.fills
             if (task, run.run) in self._stopping:
--- a/src/hyssoprill/coordination/policy/dispatch/placement.py
+++ b/src/hyssoprill/coordination/policy/dispatch/placement.py
@@ -220,9 +220,8 @@
         )
 
     placed_on: list[UpstreamView] = []
-    for upstream in sorted(
-        (one for one in candidates if counts.get(one.key)), key=preference
-    ):
+    fitting = [one for one in candidates if counts.get(one.key)]
+    for upstream in sorted(fitting, key=preference):
         count = min(counts[upstream.key], wanted - len(placed_on))
         placed_on += [upstream] * count
         if len(placed_on) == wanted:
