--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -81,10 +81,8 @@
             if reason:
                 self._close_runs(changes, key, self.job_table.open_runs[key], reason)
 
-        open_runs = self.job_table.open_runs
-        set_aside(
-            "upstream", [(key, key) for key in open_runs if open_runs[key]], close
-        )
+        keys = [(key, key) for key, runs in self.job_table.open_runs.items() if runs]
+        set_aside("upstream", keys, close)
 
     def _close_runs(
         self, changes: StepChanges, key: str, runs: dict[str, OpenRun], reason: str
