--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -31,6 +31,7 @@
 from .set_aside import find_breaking
 from .speeds import SpeedEstimates
 from .stopping import StopFinder
+from .upstream_runs import UpstreamRunsCache
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -95,7 +96,10 @@
         self._run_times = RunTimes(self._job_table, self._fleet)
         shared = (self._job_table, self._fleet, self._stopping)
         self._closer = RunCloser(*shared, self._failures, self._speeds, self._run_times)
-        self._stop_finder = StopFinder(*shared, self._failures, self._run_times)
+        self._upstream_runs = UpstreamRunsCache(self._job_table, self._stopping)
+        self._stop_finder = StopFinder(
+            *shared, self._failures, self._run_times, self._upstream_runs
+        )
         self._orders = OrderPublisher(*shared, send)
         self.set_bounds(bounds)
         self._waiting_since_s: dict[StepKey, float] = {}
@@ -235,7 +239,8 @@
     async def _append_capacities(self) -> None:
         """Store the largest known capacities for all entries when one is exceeded."""
         known = self._job_table.known_capacities
-        reported = ((one.group, one.capacity) for one in self._fleet.reports())
+        # Most upstreams are alike.
+        reported = {(one.group, one.capacity): None for one in self._fleet.reports()}
         capacities = known.extended(reported)
         if capacities is not known:
             await self._election.append(
@@ -249,7 +254,9 @@
             return
         self._last_drop_s = boottime_s()
         self._failures.retain(set(self._job_table.active), self._last_drop_s)
-        self._speeds.retain({one.key for one in self._fleet.reports()})
+        upstreams = {one.key for one in self._fleet.reports()}
+        self._speeds.retain(upstreams)
+        self._upstream_runs.retain(upstreams)
         self._run_times.model.retain(
             {one.job.queue for one in self._job_table.jobs.values()}
         )
@@ -268,10 +275,9 @@
         plan = self._run_policy(inputs, waiting)
         for unit, reason in plan.stops:
             tasks = changes.tasks(unit.step)
-            for index in unit.indices:
-                self._stopping.add(
-                    (unit.step.task_name(index), tasks[index].run), reason
-                )
+            for index, upstream in zip(unit.indices, unit.upstreams, strict=True):
+                run = (unit.step.task_name(index), tasks[index].run)
+                self._stopping.add(run, upstream, reason)
         self._record_starts(plan, changes, waited_s)
 
     def _policy_inputs(self) -> PolicyInputs:
@@ -284,6 +290,7 @@
             self._speeds,
             self._run_times,
             self._waiting_since_s,
+            self._upstream_runs,
         )
 
     def _run_policy(self, inputs: PolicyInputs, waiting: list[WaitingStep]) -> Plan:
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ...clock import boottime_s
 from ...protocol.upstream_messages import FULL_PROGRESS_PERCENT
-from ...state.job_table import OPEN, WAITING, StepKey
+from ...state.job_table import StepKey
 from ..policy.dispatch.model import (
     RunningUnit,
     UpstreamView,
@@ -21,15 +22,18 @@
 from .set_aside import set_aside
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from ...protocol.job import ResourceAmounts, Step
     from ...protocol.upstream_messages import UpstreamReport
-    from ...state.job_table import JobState, JobTable, OpenRun, StepState
+    from ...state.job_table import JobState, JobTable, StepState
     from ...state.operator_config import OperatorConfig
     from .failures import FailureTracker
     from .fleet import Fleet
     from .run_times import RunTimes
     from .runs import StopRequests
     from .speeds import SpeedEstimates
+    from .upstream_runs import UpstreamRunsCache
 
 EXCLUDE_AFTER_FAILURES = 2
 """A job is not placed again on an upstream where this many of its runs have failed."""
@@ -55,6 +59,7 @@
     speeds: SpeedEstimates
     run_times: RunTimes
     waiting_since_s: dict[StepKey, float]
+    upstream_runs: UpstreamRunsCache
     _guaranteed_jobs: set[str] = field(init=False)
     _closed_runs: ClosedRuns = field(init=False)
     _fit_counts: dict[tuple[str, ResourceAmounts], int] = field(
@@ -70,37 +75,24 @@
 
         Those that seem to fail everything they start are excluded, unless all do.
         """
-        views = []
         now_s = boottime_s()
-        for name, vm in self.fleet.vms.items():
-            if not self.fleet.is_responsive(name):
-                continue
-            for report in vm.upstreams.values():
-                if (
-                    not report.accepting
-                    or report.zone in self.operator_config.zones_out
-                ):
-                    continue
-                with set_aside("upstream", report.key):
-                    recent_failures = self.failures.recent_failures(report.key, now_s)
-                    views.append(self._upstream_view(report, recent_failures))
+        reports = [
+            (report.key, report)
+            for vm in self.fleet.vms.values()
+            if vm.is_responsive(now_s)
+            for report in vm.upstreams.values()
+            if report.accepting and report.zone not in self.operator_config.zones_out
+        ]
+        view = partial(self._upstream_view, now_s=now_s)
+        views = set_aside("upstream", reports, view)
         return [one for one in views if one.penalty < EXCLUDE_AT_FAILURES] or views
 
-    def _upstream_view(
-        self, report: UpstreamReport, recent_failures: int
-    ) -> UpstreamView:
-        used = releasing = self._closed_runs.used(report.key)
-        is_costly = is_serving = is_filling = False
-        open_runs = self.job_table.open_runs.get(report.key, {})
-        for task, run in open_runs.items():
-            step = self._step(run.step)
-            used = used.plus(step.need)
-            is_serving |= step.target_ms > 0
-            is_filling |= step.fills
-            if (task, run.run) in self.stopping:
-                releasing = releasing.plus(step.need)
-            else:
-                is_costly |= not step.checkpoints and self._priority(run.step) > 0
+    def _upstream_view(self, report: UpstreamReport, *, now_s: float) -> UpstreamView:
+        runs = self.upstream_runs.find(report)
+        free, releasing = runs.free, runs.releasing
+        if report.key in self._closed_runs.used:
+            closed = self._closed_runs.used[report.key]
+            free, releasing = free.minus(closed), releasing.plus(closed)
         return UpstreamView(
             report.key,
             report.zone,
@@ -108,43 +100,29 @@
             report.group,
             frozenset(report.labels),
             report.capacity,
-            report.capacity.minus(used),
+            free,
             releasing,
-            recent_failures,
-            is_costly,
+            self.failures.recent_failures(report.key, now_s),
+            runs.is_costly,
             self.speeds.relative_speed(report.key),
-            is_serving,
-            is_filling,
-            not open_runs,
-            *self._starting_jobs(report, open_runs),
+            runs.is_serving,
+            runs.is_filling,
+            not self.job_table.open_runs.get(report.key),
+            set(runs.starting_jobs),
+            set(runs.suspects),
         )
 
-    def _starting_jobs(
-        self, report: UpstreamReport, open_runs: dict[str, OpenRun]
-    ) -> tuple[set[str], set[str]]:
-        """Return the jobs with runs that an upstream has not listed, and suspects."""
-        listed = {(row.task, row.run) for row in report.running}
-        starting, suspects = set(), set()
-        for task, run in open_runs.items():
-            if (task, run.run) in listed:
-                continue
-            starting.add(run.step.job_id)
-            job_state = self.job_table.jobs[run.step.job_id]
-            state = job_state.step_state(run.step.occurrence, run.step.step)
-            if state.tasks[run.index].crashed_vms:
-                suspects.add(run.step.job_id)
-        return starting, suspects
-
     def waiting_steps(self, now_ms: int) -> list[WaitingStep]:
         """Return the ready steps with tasks to place, and update `waiting_since_s`."""
         found: list[WaitingStep] = []
-        for job_state in self.job_table.active.values():
-            with set_aside("job", job_state.job.id):
-                if not job_state.is_finished:
-                    found += self._waiting_steps_of(job_state, now_ms)
+        work = partial(self._waiting_steps_of, now_ms=now_ms)
+        for steps in set_aside("job", self.job_table.active.items(), work):
+            found += steps
         return found
 
     def _waiting_steps_of(self, job_state: JobState, now_ms: int) -> list[WaitingStep]:
+        if job_state.is_finished:
+            return []
         now_s = boottime_s()
         found = []
         for occurrence, number, step in job_state.ready_steps(now_ms):
@@ -202,9 +180,7 @@
         """Return the tasks to start; a gang starts only with all of its tasks."""
         running = self._closed_runs.tasks
         waiting = [
-            index
-            for index, task in enumerate(state.tasks)
-            if task.phase == WAITING and (key, index) not in running
+            index for index in state.waiting_indices if (key, index) not in running
         ]
         return [] if step.gang and len(waiting) < step.count else waiting
 
@@ -213,15 +189,18 @@
         found = [self.fleet.vms[vm].upstreams for vm in vms if vm in self.fleet.vms]
         return frozenset(key for upstreams in found for key in upstreams)
 
-    def running_units(self) -> list[RunningUnit]:
-        """Return the running units that may be preempted and are not being stopped."""
+    def running_units(self) -> Iterator[RunningUnit]:
+        """Yield the running units that may be preempted and are not being stopped."""
+        work = self._running_units_of_job
+        for units in set_aside("job", self.job_table.active.items(), work):
+            yield from units
+
+    def _running_units_of_job(self, job_state: JobState) -> list[RunningUnit]:
         units = []
-        for job_state in self.job_table.active.values():
-            with set_aside("job", job_state.job.id):
-                for (occurrence, number), state in job_state.steps.items():
-                    key = StepKey(job_state.job.id, occurrence, number)
-                    step = job_state.job.steps[number]
-                    units += self._running_units_of(job_state, key, step, state)
+        for (occurrence, number), state in job_state.steps.items():
+            key = StepKey(job_state.job.id, occurrence, number)
+            step = job_state.job.steps[number]
+            units += self._running_units_of(job_state, key, step, state)
         return units
 
     def _running_units_of(
@@ -231,10 +210,8 @@
         step: Step,
         state: StepState,
     ) -> list[RunningUnit]:
-        indices = [
-            index for index, task in enumerate(state.tasks) if task.phase == OPEN
-        ]
-        groups = [indices] if step.gang else [[index] for index in indices]
+        indices = state.open_indices
+        groups = [indices] if step.gang else [(index,) for index in indices]
         if step.may_miss:
             groups = groups[: self._preemptible_count(key, step, state)]
         units = []
@@ -247,7 +224,7 @@
             units.append(
                 RunningUnit(
                     key,
-                    tuple(group),
+                    group,
                     tuple(state.tasks[index].upstream for index in group),
                     step.need,
                     job_state.job.priority,
@@ -268,13 +245,14 @@
         Tasks that are not fully at work, or are being stopped, count as missing.
         """
         at_work = 0
-        for index, task in enumerate(state.tasks):
+        for index in state.open_indices:
+            task = state.tasks[index]
             run = (key.task_name(index), task.run)
             is_at_work = (
                 self.fleet.progress_percent(task.upstream, *run)
                 >= FULL_PROGRESS_PERCENT
             )
-            at_work += task.phase == OPEN and is_at_work and run not in self.stopping
+            at_work += is_at_work and run not in self.stopping
         return max(step.may_miss - (step.count - at_work), 0)
 
     def _slack_s(self, job_state: JobState, occurrence: int, now_ms: int) -> float:
@@ -310,10 +288,12 @@
         """Return in how many waves the objective lets a step run."""
         key = (group, step.need)
         if key not in self._fit_counts:
+            capacities = Counter(
+                [one.capacity for one in self.fleet.reports() if one.group == group]
+            )
             self._fit_counts[key] = sum(
-                one.capacity.fit_count(step.need, MAX_FIT_COUNT)
-                for one in self.fleet.reports()
-                if one.group == group
+                capacity.fit_count(step.need, MAX_FIT_COUNT) * number
+                for capacity, number in capacities.items()
             )
         return max(step.count / max(self._fit_counts[key] * WAVE_SHARE, 1.0), 1.0)
 
@@ -338,12 +318,6 @@
                     guaranteed.add(job_id)
         return guaranteed
 
-    def _priority(self, key: StepKey) -> int:
-        return self.job_table.jobs[key.job_id].job.priority
-
-    def _step(self, key: StepKey) -> Step:
-        return self.job_table.jobs[key.job_id].job.steps[key.step]
-
 
 def rack_of(report: UpstreamReport) -> str:
     """Return the rack of an upstream, or '' if its labels name none."""
@@ -381,9 +355,8 @@
 
 def _count_tasks_per_upstream(state: StepState) -> dict[str, int]:
     counts: dict[str, int] = defaultdict(int)
-    for task in state.tasks:
-        if task.phase == OPEN:
-            counts[task.upstream] += 1
+    for index in state.open_indices:
+        counts[state.tasks[index].upstream] += 1
     return counts
 
 
--- a/src/hyssoprill/coordination/planner/run_times.py
+++ b/src/hyssoprill/coordination/planner/run_times.py
@@ -31,9 +31,7 @@
     def rebuild(self) -> None:
         """Learn again from the jobs in the job table, at the start of a term."""
         self.model.clear()
-        for job_state in self.job_table.jobs.values():
-            with set_aside("job", job_state.job.id):
-                self._record_runs(job_state)
+        set_aside("job", self.job_table.jobs.items(), self._record_runs)
 
     def _record_runs(self, job_state: JobState) -> None:
         for (_occurrence, number), state in job_state.steps.items():
@@ -50,13 +48,8 @@
 
     def expected_s(self, job: Job, step: Step, state: StepState | None) -> float:
         """Return the expected run time of a task of a step."""
-        done = [
-            task.ran_ms
-            for task in (state.tasks if state is not None else ())
-            if task.phase == DONE and task.ran_ms
-        ]
-        if done:
-            return sum(done) / len(done) / 1000
+        if state is not None and state.mean_ran_s is not None:
+            return state.mean_ran_s
         return self.model.expected_s(job.queue, step.estimate_ms / 1000)
 
     def remaining_s(self, job_state: JobState, key: StepKey, index: int) -> float:
--- a/src/hyssoprill/coordination/planner/set_aside.py
+++ b/src/hyssoprill/coordination/planner/set_aside.py
@@ -2,27 +2,35 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
 from typing import TYPE_CHECKING, TypeVar
 
 from ...errors import StoreError
 from ...tasks import log_failure
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
 Input = TypeVar("Input")
-
-
-@contextmanager
-def set_aside(kind: str, name: str) -> Iterator[None]:
-    """Log an unexpected exception that an input raises, and go on without it."""
-    try:
-        yield
-    except StoreError:
-        raise
-    except Exception as exc:  # noqa: BLE001 - the other inputs are still served
-        log_failure(f"round of {kind} {name}", exc)
+Result = TypeVar("Result")
+
+
+def set_aside(
+    kind: str, inputs: Iterable[tuple[str, Input]], work: Callable[[Input], Result]
+) -> list[Result]:
+    """Return the results of the work on each named input, without those that break it.
+
+    Their exceptions are logged. A loop in place of a context manager, as rounds go
+    through all jobs and upstreams.
+    """
+    results = []
+    for name, one in inputs:
+        try:
+            results.append(work(one))
+        except StoreError:
+            raise
+        except Exception as exc:  # noqa: BLE001 - the other inputs are still served
+            log_failure(f"round of {kind} {name}", exc)
+    return results
 
 
 def find_breaking(
--- a/src/hyssoprill/coordination/planner/stopping.py
+++ b/src/hyssoprill/coordination/planner/stopping.py
@@ -14,15 +14,14 @@
 from .set_aside import set_aside
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from ...protocol.job import ResourceAmounts, Step
+    from ...protocol.job import Step
     from ...protocol.upstream_messages import UpstreamReport
     from ...state.job_table import JobState, JobTable, OpenRun, TaskState
     from .failures import FailureTracker
     from .fleet import Fleet
     from .run_times import RunTimes
     from .runs import StopRequests
+    from .upstream_runs import UpstreamRunsCache
 
 MAX_LISTING_DELAY_S = 1.2
 """A run that an upstream has started is reported as running within this time.
@@ -44,19 +43,24 @@
     stopping: StopRequests
     failures: FailureTracker
     run_times: RunTimes
+    upstream_runs: UpstreamRunsCache
 
     def request_stops(self) -> None:
         """Request a stop of each run that has to stop now."""
-        for job_state in list(self.job_table.active.values()):
-            with set_aside("job", job_state.job.id):
-                self._stop_job(job_state)
-        for vm in self.fleet.vms.values():
-            for report in vm.upstreams.values():
-                with set_aside("upstream", report.key):
-                    self._stop_on_upstream(report, vm.agent_clock_s)
-
-    def _stop_on_upstream(self, report: UpstreamReport, agent_clock_s: float) -> None:
-        """Request stops of runs that are stalled there, or that it has no room for."""
+        set_aside("job", self.job_table.active.items(), self._stop_job)
+        reports = [
+            (report.key, (report, vm.agent_clock_s))
+            for vm in self.fleet.vms.values()
+            for report in vm.upstreams.values()
+        ]
+        set_aside("upstream", reports, self._stop_on_upstream)
+
+    def _stop_on_upstream(self, reported: tuple[UpstreamReport, float]) -> None:
+        """Request stops of runs that are stalled there, or that it has no room for.
+
+        `reported` is its report, and the newest clock of its agent.
+        """
+        report, agent_clock_s = reported
         for task, number, since_s in report.stalled:
             self._stop_stalled(report.key, task, number, agent_clock_s - since_s)
         if report.draining:
@@ -70,17 +74,17 @@
         for (occurrence, number), state in job_state.steps.items():
             step = job_state.job.steps[number]
             key = StepKey(job_state.job.id, occurrence, number)
-            open_indices = [
-                i for i, task in enumerate(state.tasks) if task.phase == OPEN
-            ]
             reason = end_status
-            if not reason and step.gang and 0 < len(open_indices) < step.count:
+            if not reason and step.gang and 0 < len(state.open_indices) < step.count:
                 reason = "gang broken"
-            for index in open_indices:
+            if not reason and not state.has_done_runs:
+                continue
+            for index in state.open_indices:
                 task = state.tasks[index]
                 why = "an earlier run is done" if task.done_run else reason
                 if why:
-                    self.stopping.add((key.task_name(index), task.run), why)
+                    run = (key.task_name(index), task.run)
+                    self.stopping.add(run, task.upstream, why)
 
     def _stop_stalled(
         self, upstream: str, task: str, run_number: int, stalled_s: float
@@ -94,7 +98,7 @@
             self.failures.record_failure(
                 upstream, run.step.job_id, run_number, boottime_s()
             )
-            self.stopping.add((task, run_number), "no progress")
+            self.stopping.add((task, run_number), upstream, "no progress")
 
     def _stop_draining(self, upstream: str, upstream_remaining_s: float) -> None:
         """Request stops of the runs to migrate off a draining upstream."""
@@ -103,7 +107,7 @@
             step = job_state.job.steps[run.step.step]
             remaining_s = self.run_times.remaining_s(job_state, run.step, run.index)
             if should_migrate(step, remaining_s, upstream_remaining_s):
-                self.stopping.add((task, run.run), "upstream leaves")
+                self.stopping.add((task, run.run), upstream, "upstream leaves")
 
     def _withdraw_excess(self, report: UpstreamReport) -> None:
         """Request stops of runs yet to start on an upstream whose capacity has shrunk.
@@ -111,14 +115,10 @@
         Runs that it lists go on, and those being stopped count until they have ended.
         So none of the others may start; they are planned again on what is left.
         """
-        open_runs = self.job_table.open_runs.get(report.key, {})
-        listed = {row.task: row.run for row in report.running}
-        pending = [
-            run for task, run in open_runs.items() if listed.get(task) != run.run
-        ]
-        if not pending or report.capacity.covers(self._total_need(open_runs.values())):
+        runs = self.upstream_runs.find(report)
+        if not runs.unlisted or runs.free.covers(ZERO_AMOUNTS):
             return
-        for run in pending:
+        for run in runs.unlisted:
             step, state = self._look_up(run)
             if not _may_be_unlisted(state):
                 self._withdraw(run, step)
@@ -129,16 +129,10 @@
         job_state = self.job_table.jobs[run.step.job_id]
         tasks = job_state.step_state(run.step.occurrence, run.step.step).tasks
         for index in indices:
-            if tasks[index].phase == OPEN:
-                task = run.step.task_name(index)
-                self.stopping.add((task, tasks[index].run), "capacity shrank")
-
-    def _total_need(self, runs: Iterable[OpenRun]) -> ResourceAmounts:
-        total = ZERO_AMOUNTS
-        for run in runs:
-            step = self.job_table.jobs[run.step.job_id].job.steps[run.step.step]
-            total = total.plus(step.need)
-        return total
+            task = tasks[index]
+            if task.phase == OPEN:
+                key = (run.step.task_name(index), task.run)
+                self.stopping.add(key, task.upstream, "capacity shrank")
 
     def _look_up(self, run: OpenRun) -> tuple[Step, TaskState]:
         job_state = self.job_table.jobs[run.step.job_id]
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -28,6 +28,7 @@
     StepState,
     TaskState,
     parse_step_record,
+    unstarted_state,
 )
 
 if TYPE_CHECKING:
@@ -81,13 +82,19 @@
     cancelled: bool = False
     steps: dict[tuple[int, int], StepState] = field(default_factory=dict)
     finished_s: float = 0.0
+    _status: JobStatus | None = field(default=None, init=False)
+
+    def set_step(self, occurrence: int, number: int, state: StepState) -> None:
+        """Replace the state of a step."""
+        self.steps[occurrence, number] = state
+        self._status = None
 
     def step_state(self, occurrence: int, number: int) -> StepState:
         """Return the state of a step; all tasks wait where none was started."""
         known = self.steps.get((occurrence, number))
         if known is not None:
             return known
-        return StepState((TaskState(),) * self.job.steps[number].count)
+        return unstarted_state(self.job.steps[number].count)
 
     @property
     def has_started(self) -> bool:
@@ -97,25 +104,19 @@
     @property
     def has_open_runs(self) -> bool:
         """Whether any run may still be on an upstream."""
-        return any(
-            task.phase == OPEN for state in self.steps.values() for task in state.tasks
-        )
-
-    @property
-    def has_failed(self) -> bool:
-        """Whether a task has used up its attempts, or was given up."""
-        return any(
-            task.phase == FAILED
-            for state in self.steps.values()
-            for task in state.tasks
-        )
+        return any(state.open_indices for state in self.steps.values())
 
     @property
     def status(self) -> JobStatus:
         """Status that callers are given."""
         if self.cancelled:
             return "cancelled"
-        if self.has_failed:
+        if self._status is None:
+            self._status = self._status_by_steps()
+        return self._status
+
+    def _status_by_steps(self) -> JobStatus:
+        if any(state.has_failed for state in self.steps.values()):
             return "failed"
         expected = self.job.occurrences * len(self.job.steps)
         if len(self.steps) == expected and all(s.is_done for s in self.steps.values()):
@@ -143,7 +144,9 @@
             if self.job.due_ms(occurrence) > now_ms:
                 return
             for number, step in enumerate(self.job.steps):
-                if all(self._is_step_done(occurrence, one) for one in step.after):
+                if not step.after or all(
+                    self._is_step_done(occurrence, one) for one in step.after
+                ):
                     yield occurrence, number, step
 
     def _is_step_done(self, occurrence: int, number: int) -> bool:
@@ -162,6 +165,9 @@
         Jobs that may still start tasks or have open runs.
     open_runs : dict
         For each upstream key its open runs by task name.
+    open_runs_versions : dict
+        For each upstream key a number that rises as its open runs or the states of
+        their tasks change.
     term : Term or None
         The newest planner's term that was read.
     vacated_term : int
@@ -175,6 +181,7 @@
         self.jobs: dict[str, JobState] = {}
         self.active: dict[str, JobState] = {}
         self.open_runs: dict[str, dict[str, OpenRun]] = defaultdict(dict)
+        self.open_runs_versions: dict[str, int] = defaultdict(int)
         self.term: Term | None = None
         self.vacated_term = 0
         self.known_capacities = KnownCapacities()
@@ -278,14 +285,20 @@
     def _set_step(self, job_state: JobState, key: StepKey, state: StepState) -> None:
         """Replace a step's state and keep `open_runs` consistent with it."""
         old = job_state.steps.get(key[1:])
-        for index, task in enumerate(old.tasks if old is not None else ()):
-            if task.phase == OPEN:
-                self.open_runs[task.upstream].pop(key.task_name(index), None)
-        for index, task in enumerate(state.tasks):
-            if task.phase == OPEN:
-                run = OpenRun(key, index, task.run)
-                self.open_runs[task.upstream][key.task_name(index)] = run
-        job_state.steps[key[1:]] = state
+        if old is not None:
+            self._remove_open_runs(key, old)
+        for index in state.open_indices:
+            task = state.tasks[index]
+            run = OpenRun(key, index, task.run)
+            self.open_runs[task.upstream][key.task_name(index)] = run
+            self.open_runs_versions[task.upstream] += 1
+        job_state.set_step(key.occurrence, key.step, state)
+
+    def _remove_open_runs(self, key: StepKey, state: StepState) -> None:
+        for index in state.open_indices:
+            upstream = state.tasks[index].upstream
+            self.open_runs[upstream].pop(key.task_name(index), None)
+            self.open_runs_versions[upstream] += 1
 
     def _update_active(self, job_state: JobState) -> None:
         """Keep a job in `active` while it may start tasks or has open runs."""
@@ -302,10 +315,7 @@
         if job_state is None:
             return
         for (occurrence, number), state in job_state.steps.items():
-            key = StepKey(job_id, occurrence, number)
-            for index, task in enumerate(state.tasks):
-                if task.phase == OPEN:
-                    self.open_runs[task.upstream].pop(key.task_name(index), None)
+            self._remove_open_runs(StepKey(job_id, occurrence, number), state)
 
 
 def _parse_job_id(key: str) -> str:
