--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -3,7 +3,13 @@
 import asyncio
 import gc
 
-from hyssoprill.protocol.upstream_messages import RelayResult
+from hyssoprill.protocol.message import Message
+from hyssoprill.protocol.upstream_messages import (
+    RelayAppend,
+    RelayResult,
+    VmHeartbeat,
+    VmReport,
+)
 from hyssoprill.tasks import cancel_all
 from hyssoprill.transport.frame import FrameCodec
 from hyssoprill.transport.link import LinkHub
@@ -86,3 +92,58 @@
                     await asyncio.sleep(0.01)
 
     assert unhandled_errors(scenario) == []
+
+
+def handled_late(*messages: Message) -> list[Message]:
+    """Return what a hub handles of messages that arrive while it handles the first."""
+    handled: list[Message] = []
+
+    async def body() -> None:
+        is_free = asyncio.Event()
+
+        async def handle(envelope) -> None:
+            handled.append(envelope.body)
+            await is_free.wait()
+
+        metrics = Metrics("entry", "far")
+        far_hub = LinkHub(FrameCodec(KEY, "far", "1"), handle, metrics)
+        async with far_hub as far, hub("near") as near:
+            near.dial("far", far.listen("127.0.0.1", 0))
+            await asyncio.sleep(0.1)
+            for message in messages:
+                assert await near.send("far", message)
+            async with asyncio.timeout(5.0):
+                while metrics.totals.get("frames_received", 0) < len(messages):
+                    await asyncio.sleep(0.01)
+                is_free.set()
+                while handled[-1:] != list(messages[-1:]):
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(body())
+    return handled
+
+
+def test_superseded_reports_are_not_handled_when_the_planner_is_behind():
+    """Each was handled in turn, so that what the planner knew was seconds old."""
+    reports = [VmReport("vm-1", n / 10, n, [], []) for n in range(1, 31)]
+    beats = [
+        VmHeartbeat("vm-1", one.clock_s + 0.05, one.number, 1, 1) for one in reports
+    ]
+    first, *others = zip(reports, beats, strict=True)
+    appends = [RelayAppend(str(n), []) for n in range(len(others))]
+    late = [
+        message
+        for pair, append in zip(others, appends, strict=True)
+        for message in (*pair, append)
+    ]
+    handled = handled_late(*first, *late)
+    newest = [reports[-1], beats[-1], appends[-1]]
+    assert handled == [reports[0], *appends[:-1], *newest]
+
+
+def test_report_is_kept_when_heartbeats_follow_it():
+    report = VmReport("vm-1", 1.0, 5, [], [])
+    beats = [VmHeartbeat("vm-1", 1.0 + n, 5, 1, 1) for n in range(1, 4)]
+    first = RelayResult("token", "stored", 0)
+    handled = handled_late(first, report, *beats)
+    assert handled == [first, report, beats[-1]]
