Drop reports, heartbeats, grants and orders that newer ones replace before their turn

Cause: a link hub keeps up to 1,024 messages of a peer and handles each in turn, although a report of a VM replaces the earlier ones. A planner that is late gets later by work that no longer matters.

Change: the queue of a peer becomes a mailbox in which a message replaces those of the same process that it supersedes, and takes the last place. A report replaces reports and heartbeats, a heartbeat only heartbeats; orders replace older orders, a grant a grant. All else keeps its order and is never dropped below the bound. A message that is dropped this way has the effect of a lost one, which the protocol allows for. messages_superseded counts them.

--- a/src/hyssoprill/transport/link.py
+++ b/src/hyssoprill/transport/link.py
@@ -16,8 +16,10 @@
 import pynng
 
 from ..errors import FrameError
+from ..protocol.superseding import supersedes
 from ..tasks import TaskSet
 from .frame import MAX_FRAME_BYTES, FrameCodec
+from .mailbox import Mailbox
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -40,8 +42,8 @@
     codec : FrameCodec
         Encrypts and decrypts frames.
     handler : callable
-        Coroutine function called for each received envelope, one at a time
-        for each peer.
+        Coroutine function called for the received envelopes, one at a time for
+        each peer. It is not called for those that are superseded before their turn.
     metrics : Metrics
         Receives counts of frames, bytes, reconnects and errors.
     """
@@ -53,7 +55,7 @@
         self._listener: pynng.Pair1 | None = None
         self._inbound: dict[str, pynng.Pipe] = {}
         self._dialled: dict[str, _DialledLink] = {}
-        self._queues: dict[str, asyncio.Queue[Envelope]] = {}
+        self._mailboxes: dict[str, Mailbox[Envelope]] = {}
         self._tasks = TaskSet()
 
     async def __aenter__(self) -> Self:
@@ -183,19 +185,22 @@
             return None
 
     def _enqueue(self, envelope: Envelope) -> None:
-        queue = self._queues.get(envelope.sender)
-        if queue is None:
-            queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
-            self._queues[envelope.sender] = queue
-            self._tasks.supervise("link_peer", partial(self._serve_peer, queue))
+        mailbox = self._mailboxes.get(envelope.sender)
+        if mailbox is None:
+            mailbox = Mailbox(MAX_QUEUED_MESSAGES, _replaces)
+            self._mailboxes[envelope.sender] = mailbox
+            self._tasks.supervise("link_peer", partial(self._serve_peer, mailbox))
         try:
-            queue.put_nowait(envelope)
+            replaced = mailbox.put(envelope)
         except asyncio.QueueFull:
             self._metrics.count("messages_dropped")
+            return
+        for _ in range(replaced):
+            self._metrics.count("messages_superseded")
 
-    async def _serve_peer(self, queue: asyncio.Queue[Envelope]) -> None:
+    async def _serve_peer(self, mailbox: Mailbox[Envelope]) -> None:
         while True:
-            envelope = await queue.get()
+            envelope = await mailbox.get()
             started = time.perf_counter()
             try:
                 await self._handler(envelope)
@@ -219,6 +224,12 @@
             self.socket.close()
 
 
+def _replaces(newer: Envelope, older: Envelope) -> bool:
+    """Return whether an envelope replaces an earlier one of the same process."""
+    is_same = newer.incarnation == older.incarnation
+    return is_same and supersedes(newer.body, older.body)
+
+
 async def _send_with_timeout(target: pynng.Pair1 | pynng.Pipe, frame: bytes) -> bool:
     try:
         async with asyncio.timeout(SILENCE_TIMEOUT_S):
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -4,6 +4,7 @@
 import gc
 
 from hyssoprill.protocol.message import Message
+from hyssoprill.protocol.messages import Envelope
 from hyssoprill.protocol.upstream_messages import (
     RelayAppend,
     RelayResult,
@@ -12,7 +13,8 @@
 )
 from hyssoprill.tasks import cancel_all
 from hyssoprill.transport.frame import FrameCodec
-from hyssoprill.transport.link import LinkHub
+from hyssoprill.transport.link import LinkHub, _replaces
+from hyssoprill.transport.mailbox import Mailbox
 from hyssoprill.transport.metrics import Metrics
 
 KEY = "5f" * 32
@@ -147,3 +149,11 @@
     first = RelayResult("token", "stored", 0)
     handled = handled_late(first, report, *beats)
     assert handled == [first, report, beats[-1]]
+
+
+def test_message_of_a_restarted_process_replaces_none_of_the_earlier_one():
+    reports = [VmReport("vm-1", 1.0 + n, 5, [], []) for n in range(3)]
+    envelopes = [Envelope("vm-1", one, reports[n]) for n, one in enumerate("aab")]
+    mailbox = Mailbox(3, _replaces)
+    assert [mailbox.put(one) for one in envelopes] == [0, 1, 0]
+    assert len(mailbox) == 2
