Send an agent only the newest grant and orders when its link is slow

Cause: an entry queues up to 200 messages for an agent and sends each in turn, so that the newest orders wait behind ones that they replace.

Evidence: test_outdated_grants_and_orders_are_not_sent_when_a_link_is_slow: 201 messages sent where four are of use.

Change: the queue is a mailbox with the same rule as that of received messages. A grant that is followed by orders is still sent, as it alone names the report that the planner knows.

Measured: in the same test four messages are sent.

--- a/src/hyssoprill/coordination/intake/service.py
+++ b/src/hyssoprill/coordination/intake/service.py
@@ -11,6 +11,7 @@
 from ...logs import decision
 from ...ports.store import Record
 from ...protocol.message import Message
+from ...protocol.superseding import supersedes
 from ...protocol.upstream_messages import (
     Referral,
     RelayAppend,
@@ -21,6 +22,7 @@
 from ...tasks import TaskSet
 from ...transport.frame import FrameCodec
 from ...transport.link import LinkHub
+from ...transport.mailbox import Mailbox
 from ..entry_watcher import EntryWatcher
 from ..identity import new_incarnation
 from ..planner.election import PlannerElection
@@ -96,7 +98,7 @@
         )
         self._entry_watcher = EntryWatcher(store, lambda _name: None)
         self._planner: Planner | None = None
-        self._send_queues: dict[str, asyncio.Queue[Message]] = {}
+        self._outboxes: dict[str, Mailbox[Message]] = {}
         metrics.watch("config_age_seconds", lambda: self.config_watcher.age_s)
         metrics.watch("jobs_age_seconds", lambda: self.replica.age_s)
         metrics.watch("jobs_active", lambda: len(self.replica.job_table.active))
@@ -235,19 +237,19 @@
 
     def _send(self, peer: str, message: Message) -> None:
         """Queue a message; each peer has a queue and task, so none delays another."""
-        queue = self._send_queues.get(peer)
-        if queue is None:
-            queue = asyncio.Queue(MAX_PENDING_SENDS)
-            self._send_queues[peer] = queue
-            self._tasks.supervise("sender", partial(self._send_queued, peer, queue))
+        outbox = self._outboxes.get(peer)
+        if outbox is None:
+            outbox = Mailbox(MAX_PENDING_SENDS, supersedes)
+            self._outboxes[peer] = outbox
+            self._tasks.supervise("sender", partial(self._send_queued, peer, outbox))
         try:
-            queue.put_nowait(message)
+            outbox.put(message)
         except asyncio.QueueFull:
             self.metrics.count("messages_dropped")
 
-    async def _send_queued(self, peer: str, queue: asyncio.Queue[Message]) -> None:
+    async def _send_queued(self, peer: str, outbox: Mailbox[Message]) -> None:
         while True:
-            message = await queue.get()
+            message = await outbox.get()
             if not await self._hub.send(peer, message):
                 self.metrics.count("messages_unsent")
 
