--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import threading
 
 from hyssoprill.protocol.message import Message
 from hyssoprill.protocol.messages import Envelope
@@ -157,3 +158,35 @@
     mailbox = Mailbox(3, _replaces)
     assert [mailbox.put(one) for one in envelopes] == [0, 1, 0]
     assert len(mailbox) == 2
+
+
+def test_reports_that_wait_at_the_link_are_superseded_when_the_process_is_behind():
+    """They were received one by one, each handled before the next was seen."""
+    reports = [VmReport("vm-1", n / 100, n, [], []) for n in range(1, 101)]
+    handled: list[Message] = []
+
+    async def handle(envelope) -> None:
+        handled.append(envelope.body)
+
+    async def send_all(url: str) -> None:
+        async with hub("near") as near:
+            near.dial("far", url)
+            await asyncio.sleep(0.1)
+            for report in reports:
+                assert await near.send("far", report)
+            await asyncio.sleep(0.1)
+
+    async def body() -> None:
+        codec = FrameCodec(KEY, "far", "1")
+        async with LinkHub(codec, handle, Metrics("entry", "far")) as far:
+            url = far.listen("127.0.0.1", 0)
+            await asyncio.sleep(0)
+            sender = threading.Thread(target=asyncio.run, args=(send_all(url),))
+            sender.start()
+            sender.join()
+            async with asyncio.timeout(5.0):
+                while handled[-1:] != reports[-1:]:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(body())
+    assert len(handled) <= 3
