Send a frame without an asynchronous call where the socket has room

Cause: the cost of a frame is that of the asynchronous calls of pynng and the wake-ups of the event loop by its threads, not of encryption and encoding.

Evidence, from a script with a real hub, 160 agents in two other processes on loopback and an entry that answers each message with a grant and each fourth with orders too (400 frames in, 519 out a second; beside other load): 43% of a core, 464 to 472 us a frame. Sealing or opening takes 6 to 7 us for a grant or heartbeat, 9 and 13 us for a report of 6 runs, 15 and 19 us for orders with payloads of 300 characters, about 100 us with 4,000 characters. In a profile an asynchronous send takes 242 us, one without waiting 94 us.

Change: a frame is sent without waiting if the socket has room and no other frame went to the same peer within 1 ms. Sent without that pause, 20 frames in a row lose half of themselves, as a pipe queues two and drops the rest; asynchronously 2 of 400 were lost.

--- a/src/hyssoprill/transport/link.py
+++ b/src/hyssoprill/transport/link.py
@@ -31,6 +31,8 @@
 
 SILENCE_TIMEOUT_S = 1.5
 REDIAL_DELAY_S = 0.2
+MIN_SEND_INTERVAL_S = 0.001
+"""Frames to one peer that follow sooner are sent asynchronously."""
 MAX_QUEUED_MESSAGES = 1024
 MAX_RECEIVED_AT_ONCE = 512
 """Most messages that are received before any of them is handled.
@@ -60,6 +62,7 @@
         self._inbound: dict[str, pynng.Pipe] = {}
         self._dialled: dict[str, _DialledLink] = {}
         self._mailboxes: dict[str, Mailbox[Envelope]] = {}
+        self._sent_s: dict[str, float] = {}
         self._tasks = TaskSet()
 
     async def __aenter__(self) -> Self:
@@ -121,7 +124,7 @@
         self._metrics.count("frames_sent", len(frame))
         link = self._dialled.get(name)
         if link is not None and link.socket is not None:
-            return await _send_with_timeout(link.socket, frame)
+            return await self._transmit(name, link.socket, frame)
         return await self._send_inbound(name, frame)
 
     async def send_back(self, name: str, message: AnyMessage) -> bool:
@@ -134,7 +137,23 @@
 
     async def _send_inbound(self, name: str, frame: bytes) -> bool:
         pipe = self._inbound.get(name)
-        return pipe is not None and await _send_with_timeout(pipe, frame)
+        return pipe is not None and await self._transmit(name, pipe, frame)
+
+    async def _transmit(
+        self, name: str, target: pynng.Pair1 | pynng.Pipe, frame: bytes
+    ) -> bool:
+        """Send a frame at once, unless it follows another one to the same peer.
+
+        An asynchronous send costs more than twice the processor time. But a socket
+        drops what exceeds two frames that it has not passed on yet.
+        """
+        now_s = time.monotonic()
+        is_burst = now_s - self._sent_s.get(name, float("-inf")) < MIN_SEND_INTERVAL_S
+        self._sent_s[name] = now_s
+        if not is_burst:
+            with suppress(pynng.TryAgain):
+                return _send_at_once(target, frame)
+        return await _send_with_timeout(target, frame)
 
     async def _receive_inbound(self, socket: pynng.Pair1) -> None:
         while True:
@@ -248,6 +267,20 @@
     return True
 
 
+def _send_at_once(target: pynng.Pair1 | pynng.Pipe, frame: bytes) -> bool:
+    """Send without waiting; raise `pynng.TryAgain` if the socket has no room."""
+    try:
+        if isinstance(target, pynng.Pipe):
+            target.socket.send_msg(pynng.Message(frame, target), block=False)
+        else:
+            target.send(frame, block=False)
+    except pynng.TryAgain:
+        raise
+    except pynng.NNGException:
+        return False
+    return True
+
+
 def _waiting_messages(socket: pynng.Pair1) -> Iterator[pynng.Message]:
     """Yield messages that a socket has already received, a bounded number."""
     with suppress(pynng.TryAgain, pynng.Closed):
