Receive frames of an entry's link in batches, at most 5 ms apart

Cause: each frame wakes the event loop by itself and is received by an asynchronous call.

Change: an entry pauses for 5 ms after it has received what waits, and receives what has come since in one go. The first frame after a quiet time does not wait.

--- a/src/hyssoprill/transport/link.py
+++ b/src/hyssoprill/transport/link.py
@@ -33,6 +33,10 @@
 REDIAL_DELAY_S = 0.2
 MIN_SEND_INTERVAL_S = 0.001
 """Frames to one peer that follow sooner are sent asynchronously."""
+RECEIVE_PAUSE_S = 0.005
+"""Pause after frames are received, so that those that follow are received together.
+
+Each wake-up of the process costs more than a frame that waits."""
 MAX_QUEUED_MESSAGES = 1024
 MAX_RECEIVED_AT_ONCE = 512
 """Most messages that are received before any of them is handled.
@@ -164,6 +168,7 @@
             self._accept(message)
             for waiting in _waiting_messages(socket):
                 self._accept(waiting)
+            await asyncio.sleep(RECEIVE_PAUSE_S)
 
     def _accept(self, message: pynng.Message) -> None:
         envelope = self._decode_frame(message.bytes)
