Agents log why an ordered start came too late

`start_refused` carries, for expired orders, the age of the order, the age of the newest grant's echo and what blocked the start. No logic changes.

--- a/src/hyssoprill/coordination/upstream/planner_grant.py
+++ b/src/hyssoprill/coordination/upstream/planner_grant.py
@@ -82,10 +82,15 @@
         """
         return max(self.echoed_clock_s, self.began_s) + GRANT_TTL_S - boottime_s()
 
+    @property
+    def echo_age_s(self) -> float:
+        """Age of the newest clock reading that the planner has echoed, in seconds."""
+        return boottime_s() - self.echoed_clock_s
+
     @property
     def may_start(self) -> bool:
         """Whether the grant is recent enough to start runs."""
-        return boottime_s() - self.echoed_clock_s < MAX_ORDER_AGE_S
+        return self.echo_age_s < MAX_ORDER_AGE_S
 
 
 __all__ = [
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -27,7 +27,7 @@
 from .stop_calls import StopCalls
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Mapping
 
     from ...ports.upstream import CheckIn, RunListing, UpstreamPort
     from ...protocol.upstream_key import UpstreamKey
@@ -345,6 +345,11 @@
 
     async def _settle_expired(self, key: RunKey) -> None:
         """Settle a run whose order has expired: it goes on if a call has started it."""
+        evidence = {
+            "age_s": round(self._order_ages.age_s(key), 3),
+            "echo_age_s": round(self._grant.echo_age_s, 3),
+            "blocker": self._start_blocker(),
+        }
         if key in self.start_calls.in_doubt:
             await self._wait_for_listing(boottime_s())
             if self._listing is not None and self._listing.lists_running(*key):
@@ -353,7 +358,7 @@
                     "run_started", task=key[0], run=key[1], term=self.term, why="listed"
                 )
                 return
-        await self._refuse_when_settled(key, "order expired")
+        await self._refuse_when_settled(key, "order expired", evidence)
 
     async def _wait_for_listing(
         self, after_s: float, *, without: RunKey | None = None
@@ -376,21 +381,23 @@
         finally:
             self._listing_waits -= 1
 
-    async def _refuse_when_settled(self, key: RunKey, reason: str) -> None:
+    async def _refuse_when_settled(
+        self, key: RunKey, reason: str, evidence: Mapping[str, object] | None = None
+    ) -> None:
         """Report a run as refused once it is certain that it never ran and never will.
 
         A refusal concerns a single call. An earlier unanswered call may have started
-        the run, or may still start it, until the run has been stopped.
+        the run, or may still start it, until the run has been stopped. `evidence` is
+        what the log tells beside the reason.
         """
         if key in self.start_calls.in_doubt or reason == RUN_ALREADY_ENDED:
             await self._stop(key)
             await self._wait_for_listing(boottime_s(), without=key)
             if self._listing is not None and self._listing.lists_ended(*key):
                 return
-        self._refuse(key, reason)
-
-    def _refuse(self, key: RunKey, reason: str) -> None:
-        decision("start_refused", task=key[0], run=key[1], why=reason)
+        decision(
+            "start_refused", task=key[0], run=key[1], why=reason, **(evidence or {})
+        )
         self._refused[key] = reason
         self._on_change()
 
--- a/tests/coordination/upstream/test_order_validity.py
+++ b/tests/coordination/upstream/test_order_validity.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hyssoprill.clock import boottime_s, unix_ms
+from hyssoprill.coordination.upstream import session
 from hyssoprill.coordination.upstream.planner_grant import PlannerGrant
 from hyssoprill.coordination.upstream.session import RENEW_WAIT_S, UpstreamSession
 from hyssoprill.errors import (
@@ -214,3 +215,25 @@
         assert harness.refused_runs() == [RUN]
 
     run_scenario(scenario)
+
+
+def test_refusal_of_an_expired_order_tells_its_age_and_what_blocked_the_start(
+    monkeypatch,
+):
+    lines = {}
+    monkeypatch.setattr(
+        session, "decision", lambda event, **fields: lines.update({event: fields})
+    )
+
+    async def scenario(harness, _upstream):
+        harness.order()
+        harness.grant.echoed_clock_s -= 100.0
+        harness.order(RunOrder(*RUN, "x", "", unix_ms()))
+        await asyncio.sleep(VALIDITY_S + 0.4)
+        line = lines["start_refused"]
+        assert (line["task"], line["run"], line["why"]) == (*RUN, "order expired")
+        assert VALIDITY_S <= line["age_s"] < VALIDITY_S + 0.4
+        assert line["echo_age_s"] > 100.0
+        assert line["blocker"] == "no recent grant from the planner"
+
+    run_scenario(scenario)
