--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -115,6 +115,7 @@
         self.number = 1
         self.ended: list[EndReport] = []
         self.closed: list[tuple[str, int]] = []
+        self.refused: list[tuple[str, int, str]] = []
         self.ended_keys: list[str] = []
         self.accepting = True
         self.draining = False
@@ -132,6 +133,7 @@
             list(self.running),
             list(self.ended),
             list(self.closed),
+            list(self.refused),
             draining=self.draining,
         )
 
--- a/tests/coordination/upstream/test_order_validity.py
+++ b/tests/coordination/upstream/test_order_validity.py
@@ -237,3 +237,30 @@
         assert line["blocker"] == "no recent grant from the planner"
 
     run_scenario(scenario)
+
+
+def test_start_that_is_confirmed_while_it_waits_is_called_for():
+    async def scenario(harness, upstream):
+        harness.order()
+        harness.grant.echoed_clock_s -= 100.0
+        for _renewal in range(5):
+            harness.order(RunOrder(*RUN, "x", "", unix_ms()))
+            await asyncio.sleep(VALIDITY_S / 2)
+        assert harness.refused_runs() == []
+        harness.grant.update(1, boottime_s())
+        await asyncio.sleep(VALIDITY_S / 2)
+        assert upstream.running == {RUN}
+
+    run_scenario(scenario)
+
+
+def test_start_without_an_answer_expires_although_it_is_confirmed():
+    async def scenario(harness, upstream):
+        harness.order()
+        upstream.fault = UpstreamUnreachedError("no connection")
+        for _renewal in range(6):
+            harness.order(RunOrder(*RUN, "x", "", unix_ms()))
+            await asyncio.sleep(VALIDITY_S / 2)
+        assert harness.refused_runs() == [RUN]
+
+    run_scenario(scenario)
