An order counts from the receipt of the message whose clock it echoes

An agent counted an order from its clock reading that the planner echoes, less the order's age. That reading is up to a heartbeat (0.6 s) and the time in queues older than the decision of an order sent at once.

Orders tell for how long the planner had had the message with that reading. The agent had read its clock before the receipt, so that the decision came at least as much later as passed on the planner between the two; an order is still never taken as younger than it is. Where the time of the decision is not known, or lies after the sending, the echo counts as before. A planner that does not send the new field means the same as before.

Not measured on a whole site.

--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -54,6 +54,8 @@
         The planner's clock when it last allowed the agent to extend leases.
     granted_clock_s : float or None
         The agent's clock from which it may extend them, None before the first grant.
+    granted_contact_s : float
+        The planner's clock when it received the message with that clock.
     upstreams : dict
         Newest reports of the upstreams, by key.
     ended_upstreams : frozenset of str
@@ -70,6 +72,7 @@
     confirmed_s: float = float("-inf")
     last_grant_s: float = float("-inf")
     granted_clock_s: float | None = None
+    granted_contact_s: float = float("-inf")
     upstreams: dict[str, UpstreamReport] = field(default_factory=dict)
     ended_upstreams: frozenset[str] = frozenset()
     last_reports: dict[str, UpstreamReport] = field(default_factory=dict)
@@ -139,6 +142,7 @@
         vm = self.vms[name]
         vm.last_grant_s = boottime_s()
         vm.granted_clock_s = vm.agent_clock_s
+        vm.granted_contact_s = vm.last_contact_s
         return vm.granted_clock_s
 
     def _extend_lease(self, key: str, duration_s: float) -> None:
--- a/src/hyssoprill/coordination/planner/orders.py
+++ b/src/hyssoprill/coordination/planner/orders.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ...clock import unix_ms
+from ...clock import boottime_s, unix_ms
 from ...protocol.upstream_messages import (
     DEFAULT_VALIDITY_S,
     RunOrder,
@@ -81,13 +81,21 @@
 
     def _send_to(self, name: str, term: int, orders: list[UpstreamOrders]) -> None:
         """Send orders, which extend leases as far as the newest grant does."""
-        echo_s = self._fleet.vms[name].granted_clock_s
+        vm = self._fleet.vms[name]
+        echo_s = vm.granted_clock_s
         if echo_s is None:
             return
         self._last_number += 1
         self._sent[name] = ((term, self._last_number), orders)
-        number, validity_s = self._last_number, self.validity_s
-        message = VmOrders(term, number, echo_s, orders, unix_ms(), validity_s)
+        message = VmOrders(
+            term,
+            self._last_number,
+            echo_s,
+            orders,
+            unix_ms(),
+            self.validity_s,
+            boottime_s() - vm.granted_contact_s,
+        )
         self._send(name, message)
 
     def _orders(self, key: str) -> UpstreamOrders:
--- a/src/hyssoprill/coordination/upstream/order_ages.py
+++ b/src/hyssoprill/coordination/upstream/order_ages.py
@@ -16,16 +16,21 @@
 class OrderAges:
     """Remembers when each ordered run was decided.
 
-    An order counts from the agent's clock reading that it echoes, less its age when it
-    was sent. So it is never taken as younger than it is, and neither a delay nor a
-    repetition, nor a planner that follows, makes it younger.
+    The planner receives a message after the agent has read the clock that the message
+    carries. So an order counts from that reading, and what passed on the planner from
+    the receipt to the decision. It is never taken as younger than it is, and neither a
+    delay nor a repetition, nor a planner that follows, makes it younger.
     """
 
     def __init__(self) -> None:
         self._decided_s: dict[RunKey, float] = {}
 
     def update(
-        self, runs: Iterable[RunOrder], echoed_clock_s: float, sent_ms: int
+        self,
+        runs: Iterable[RunOrder],
+        echoed_clock_s: float,
+        sent_ms: int,
+        echo_age_s: float = 0.0,
     ) -> None:
         """Apply newer orders and forget the runs that they do not name.
 
@@ -36,12 +41,15 @@
         sent_ms : int
             When the message was sent, in milliseconds since 1970 by the clock that
             `RunOrder.decided_ms` is by.
+        echo_age_s : float
+            For how long the planner had had that reading when the message was sent.
         """
         known, self._decided_s = self._decided_s, {}
         for run in runs:
             key = run.task, run.run
-            age_ms = max(sent_ms - run.decided_ms, 0) if run.decided_ms else 0
-            decided_s = echoed_clock_s - age_ms / 1000
+            decided_s = echoed_clock_s
+            if 0 < run.decided_ms <= sent_ms:
+                decided_s += echo_age_s - (sent_ms - run.decided_ms) / 1000
             self._decided_s[key] = min(decided_s, known.get(key, decided_s))
 
     def age_s(self, key: RunKey) -> float:
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -185,15 +185,19 @@
     # Orders
 
     def apply_orders(
-        self, orders: UpstreamOrders, echoed_clock_s: float, sent_ms: int
+        self,
+        orders: UpstreamOrders,
+        echoed_clock_s: float,
+        sent_ms: int,
+        echo_age_s: float = 0.0,
     ) -> None:
         """Replace earlier orders, then start missing runs and stop surplus ones.
 
-        `echoed_clock_s` and `sent_ms` are those of the message with the orders.
+        The other parameters are fields of the message with the orders.
         """
         is_first = self._orders is None
         self._orders = orders
-        self._order_ages.update(orders.runs, echoed_clock_s, sent_ms)
+        self._order_ages.update(orders.runs, echoed_clock_s, sent_ms, echo_age_s)
         self._ordered_runs = {(run.task, run.run): run for run in orders.runs}
         if is_first:
             # An earlier agent process may already have tried to start these runs.
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -240,7 +240,9 @@
         for orders in message.upstreams:
             session = self._sessions.get(parse_upstream_key(orders.key))
             if session is not None:
-                session.apply_orders(orders, message.echoed_clock_s, message.sent_ms)
+                session.apply_orders(
+                    orders, message.echoed_clock_s, message.sent_ms, message.echo_age_s
+                )
 
     @_handle.register
     async def _(self, message: Referral, sender: str) -> None:
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -195,6 +195,9 @@
         When the planner sent the message, in milliseconds since 1970.
     validity_s : float
         Starts may be called for this long after they were decided.
+    echo_age_s : float
+        For how long, as it sent the message, the planner had had the agent's message
+        whose clock it echoes; 0 if not known. Measured on a clock that is never set.
     """
 
     term: Count
@@ -203,6 +206,7 @@
     upstreams: list[UpstreamOrders]
     sent_ms: int = 0
     validity_s: float = DEFAULT_VALIDITY_S
+    echo_age_s: float = 0.0
 
 
 class Grant(Message):
