The planner confirms starts that would expire before they are called for

A busy planner's orders and grants reach agents late; the start is refused as "order expired", planned again, and is late again.

While a run is open, not listed and not stopping, its upstream accepts, its zone is in, its VM answers and the planner may grant, the planner decides anew on the start once half of its validity has passed: it sends the order with a newer time, at most once per VM in that time. The members of a gang are confirmed only while none of them is kept from its start. Agents take a newer time, which lies not after the sending, as a new decision; repetitions and planners that follow still make no order younger. After the first call for a start a newer time counts for nothing, so that an unreachable upstream keeps its run no longer than before. A start still follows a decision by the config in force by at most the validity.

Not measured on a whole site.

--- a/src/hyssoprill/coordination/planner/orders.py
+++ b/src/hyssoprill/coordination/planner/orders.py
@@ -11,6 +11,7 @@
     UpstreamOrders,
     VmOrders,
 )
+from .renewals import StartRenewals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,6 +36,8 @@
     ----------
     validity_s : float
         Starts may be called for this long after they were decided.
+    renewals : StartRenewals
+        Tells when the starts were decided.
     """
 
     def __init__(
@@ -48,11 +51,13 @@
         self._stored_upto: dict[str, int] = {}
         self._last_number = 0
         self.validity_s = DEFAULT_VALIDITY_S
+        self.renewals = StartRenewals(job_table, fleet, stopping)
 
     def clear(self) -> None:
         """Drop what was sent, at the start of a term."""
         self._sent.clear()
         self._stored_upto.clear()
+        self.renewals.clear()
         self._last_number = 0
 
     def acknowledge(self, stored_upto: dict[str, int]) -> None:
@@ -113,7 +118,7 @@
                     run.run,
                     job_state.job.payload,
                     stored.checkpoint,
-                    stored.started_ms,
+                    self.renewals.decided_ms((task, run.run), stored.started_ms),
                 )
             )
         return UpstreamOrders(key, runs, stopping, self._stored_upto.get(key, 0))
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -192,9 +192,17 @@
         self._plan_starts(changes)
         await self._append_changes(changes)
         if self._election.term == term:
+            self._renew_starts()
             self._orders.publish(term)
         await self._drop_expired_jobs()
 
+    def _renew_starts(self) -> None:
+        """Confirm starts that are about to expire, by the config in force now."""
+        now_ms = unix_ms()
+        if self._election.may_grant:
+            zones_out = self._operator_config().zones_out
+            self._orders.renewals.renew(self._orders.validity_s, zones_out, now_ms)
+
     async def _append_changes(self, changes: StepChanges) -> None:
         for batch in changes.batches():
             await self._election.append(batch)
--- a/src/hyssoprill/coordination/upstream/order_ages.py
+++ b/src/hyssoprill/coordination/upstream/order_ages.py
@@ -19,11 +19,14 @@
     The planner receives a message after the agent has read the clock that the message
     carries. So an order counts from that reading, and what passed on the planner from
     the receipt to the decision. It is never taken as younger than it is, and neither a
-    delay nor a repetition, nor a planner that follows, makes it younger.
+    delay nor a repetition, nor a planner that follows, makes it younger. Only a planner
+    that has made the decision anew does, before the upstream is called for the first
+    time: what delays the start then is not the planner.
     """
 
     def __init__(self) -> None:
-        self._decided_s: dict[RunKey, float] = {}
+        self._decisions: dict[RunKey, tuple[int, float]] = {}
+        self._held: set[RunKey] = set()
 
     def update(
         self,
@@ -44,17 +47,29 @@
         echo_age_s : float
             For how long the planner had had that reading when the message was sent.
         """
-        known, self._decided_s = self._decided_s, {}
+        known, self._decisions = self._decisions, {}
         for run in runs:
             key = run.task, run.run
             decided_s = echoed_clock_s
             if 0 < run.decided_ms <= sent_ms:
                 decided_s += echo_age_s - (sent_ms - run.decided_ms) / 1000
-            self._decided_s[key] = min(decided_s, known.get(key, decided_s))
+            before_ms, before_s = known.get(key, (run.decided_ms, decided_s))
+            is_newer = 0 < before_ms < run.decided_ms <= sent_ms
+            if is_newer and key not in self._held:
+                self._decisions[key] = run.decided_ms, decided_s
+            elif run.decided_ms < before_ms:
+                self._decisions[key] = before_ms, before_s
+            else:
+                self._decisions[key] = before_ms, min(decided_s, before_s)
+        self._held &= self._decisions.keys()
+
+    def hold(self, key: RunKey) -> None:
+        """Take no newer decision on an ordered run from now on."""
+        self._held.add(key)
 
     def age_s(self, key: RunKey) -> float:
         """Return how many seconds ago an ordered run was decided, at the most."""
-        return boottime_s() - self._decided_s[key]
+        return boottime_s() - self._decisions[key][1]
 
 
 __all__ = ["OrderAges"]
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -305,6 +305,7 @@
                 continue
             sent_s, lease_s = boottime_s(), self._lease_length_s
             self.start_calls.begin(key)
+            self._order_ages.hold(key)
             try:
                 answer = await self._port.start(
                     order,
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -157,7 +157,8 @@
     checkpoint : str
         Checkpoint to resume from, '' to start afresh.
     decided_ms : int
-        When the start was decided, in milliseconds since 1970; 0 if not known.
+        When the start was decided, in milliseconds since 1970; 0 if not known. A later
+        time for the same run is a new decision, which confirms the start.
     """
 
     task: str
