A start that was not called for in time costs its step no back-off

A run that ends as "order expired", or withdrawn as the grant ended, was counted as refused by its upstream, so that its step waited for up to 3 s, although no upstream had refused anything: the planner or the link was late. Only refusals by upstreams back a step off now.

--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -7,6 +7,7 @@
 
 from ...clock import boottime_s
 from ...logs import decision
+from ...protocol.upstream_messages import GRANT_ENDED, ORDER_EXPIRED
 from ...state.job_table import FAILED, OPEN
 from .crashes import crashes_upstreams, find_crashes
 from .policy_inputs import rack_of
@@ -32,6 +33,10 @@
 CHECKPOINT_INTERVAL_S = 1.0
 """Interval of storing checkpoints: the planner and an upstream may fail together."""
 
+REFUSED = "refused: "
+LATE_OUTCOMES = frozenset({REFUSED + ORDER_EXPIRED, REFUSED + GRANT_ENDED})
+"""Ends of runs that no upstream has refused: their orders or grants came too late."""
+
 
 @dataclass(slots=True)
 class RunCloser:
@@ -117,9 +122,7 @@
         for restarted in self.fleet.restarted_keys(report.key) if ends else ():
             self._close_ended(changes, restarted, ends)
         ends += [(task, run, "closed", "") for task, run in report.closed]
-        ends += [
-            (task, run, f"refused: {why}", "") for task, run, why in report.refused
-        ]
+        ends += [(task, run, REFUSED + why, "") for task, run, why in report.refused]
         self._close_ended(changes, report.key, ends)
         for row in report.ended:
             if row.outcome == "done":
@@ -243,7 +246,7 @@
                 immediate=elapsed_s(before)
                 < max(expected_s * IMMEDIATE_FAILURE_SHARE, MIN_IMMEDIATE_FAILURE_S),
             )
-        elif outcome.startswith("refused"):
+        elif outcome.startswith(REFUSED) and outcome not in LATE_OUTCOMES:
             self.failures.record_refusal(run.step, boottime_s())
         decision(
             "run_ended",
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -16,7 +16,12 @@
 )
 from ...logs import decision
 from ...ports.upstream import RUN_ALREADY_ENDED
-from ...protocol.upstream_messages import UpstreamOrders, UpstreamReport
+from ...protocol.upstream_messages import (
+    GRANT_ENDED,
+    ORDER_EXPIRED,
+    UpstreamOrders,
+    UpstreamReport,
+)
 from ...tasks import TaskSet
 from .departure import DepartureWatch
 from .lease import MIN_LEASE_S, LeaseTracker
@@ -263,7 +268,7 @@
     async def _withdraw(self, key: RunKey) -> None:
         """Report an ordered run as refused once it can no longer start."""
         self.start_calls.in_doubt.add(key)
-        await self._refuse_when_settled(key, "the grant ended")
+        await self._refuse_when_settled(key, GRANT_ENDED)
 
     def _call(
         self,
@@ -363,7 +368,7 @@
                     "run_started", task=key[0], run=key[1], term=self.term, why="listed"
                 )
                 return
-        await self._refuse_when_settled(key, "order expired", evidence)
+        await self._refuse_when_settled(key, ORDER_EXPIRED, evidence)
 
     async def _wait_for_listing(
         self, after_s: float, *, without: RunKey | None = None
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -19,6 +19,11 @@
 DEFAULT_VALIDITY_S = 3.0
 """Validity of orders that do not name it."""
 
+ORDER_EXPIRED = "order expired"
+"""Reason of a refused run whose upstream was not called in time."""
+GRANT_ENDED = "the grant ended"
+"""Reason of a refused run that its agent withdrew without contact with a planner."""
+
 
 class RunReport(Struct, frozen=True, array_like=True):
     """A run that an upstream lists as running.
@@ -252,6 +257,8 @@
 __all__ = [
     "DEFAULT_VALIDITY_S",
     "FULL_PROGRESS_PERCENT",
+    "GRANT_ENDED",
+    "ORDER_EXPIRED",
     "EndReport",
     "Grant",
     "Referral",
