A later run that starts ends the back-off of its step

The delay after refused starts doubles to 3 s and was kept as long as the job lives, also when later runs of the step had started: a gang that was refused often waited for 3 s after each further refusal.

The refusals of a step are forgotten once one of its runs that was planned after them is listed as running; a run that was there before them ends nothing.

--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -58,6 +58,7 @@
         dict
             For each upstream the highest number of the ends that it reported.
         """
+        self._forget_refusals()
         highest_numbers = {}
         for report in self.fleet.reports():
             with set_aside("upstream", report.key):
@@ -70,6 +71,23 @@
                 self._close_reported_by(report, changes)
         return highest_numbers
 
+    def _forget_refusals(self) -> None:
+        """Forget the refusals of steps of which a later run is listed as running."""
+        for step, refused_run in self.failures.refused_steps.items():
+            job_state = self.job_table.jobs.get(step.job_id)
+            if job_state is None:
+                continue
+            tasks = job_state.step_state(step.occurrence, step.step).tasks
+            if any(
+                task.phase == OPEN
+                and task.run > refused_run
+                and self.fleet.lists_running(
+                    task.upstream, step.task_name(index), task.run
+                )
+                for index, task in enumerate(tasks)
+            ):
+                self.failures.forget_refusals(step)
+
     def close_expired(self, changes: StepChanges) -> None:
         """Close runs on upstream incarnations that can no longer run tasks.
 
@@ -247,7 +265,7 @@
                 < max(expected_s * IMMEDIATE_FAILURE_SHARE, MIN_IMMEDIATE_FAILURE_S),
             )
         elif outcome.startswith(REFUSED) and outcome not in LATE_OUTCOMES:
-            self.failures.record_refusal(run.step, boottime_s())
+            self.failures.record_refusal(run.step, boottime_s(), run.run)
         decision(
             "run_ended",
             task=task,
--- a/src/hyssoprill/coordination/planner/failures.py
+++ b/src/hyssoprill/coordination/planner/failures.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -26,13 +27,22 @@
 """Failures in a row within `FAILURE_TTL_S` after which an upstream gets no starts."""
 
 
+@dataclass(slots=True)
+class StepRefusals:
+    """Refused starts of a step since one of its runs has started."""
+
+    count: int = 0
+    until_s: float = 0.0
+    newest_run: int = 0
+
+
 class FailureTracker:
     """Failures on each upstream since its last success, and refused starts of steps."""
 
     def __init__(self) -> None:
         self._failures: dict[str, dict[str, dict[int, float]]] = defaultdict(dict)
         self._failed_upstreams: dict[str, dict[str, set[int]]] = defaultdict(dict)
-        self._refusals: dict[StepKey, tuple[int, float]] = {}
+        self._refusals: dict[StepKey, StepRefusals] = {}
 
     def record_failure(
         self,
@@ -97,15 +107,29 @@
             one for one, runs in by_upstream.items() if len(runs) >= at_least
         )
 
-    def record_refusal(self, step: StepKey, now_s: float) -> None:
-        """Record that an upstream refused to start a task of a step."""
-        refusals, _until_s = self._refusals.get(step, (0, 0.0))
-        delay_s = min(REFUSAL_BACKOFF_S * 2**refusals, MAX_REFUSAL_BACKOFF_S)
-        self._refusals[step] = (refusals + 1, now_s + delay_s)
+    def record_refusal(self, step: StepKey, now_s: float, run: int = 0) -> None:
+        """Record that an upstream refused to start a task of a step.
+
+        `run` is the number of the refused run.
+        """
+        refusals = self._refusals.setdefault(step, StepRefusals())
+        delay_s = min(REFUSAL_BACKOFF_S * 2**refusals.count, MAX_REFUSAL_BACKOFF_S)
+        refusals.count += 1
+        refusals.until_s = now_s + delay_s
+        refusals.newest_run = max(refusals.newest_run, run)
+
+    @property
+    def refused_steps(self) -> dict[StepKey, int]:
+        """Steps with refused starts, and the newest run of each that was refused."""
+        return {step: one.newest_run for step, one in self._refusals.items()}
+
+    def forget_refusals(self, step: StepKey) -> None:
+        """Forget the refusals of a step, as one of its later runs has started."""
+        self._refusals.pop(step, None)
 
     def is_backing_off(self, step: StepKey, now_s: float) -> bool:
         """Return whether a step must wait after a refusal before it is tried again."""
-        return now_s < self._refusals.get(step, (0, 0.0))[1]
+        return step in self._refusals and now_s < self._refusals[step].until_s
 
     def retain(self, job_ids: set[str], now_s: float) -> None:
         """Drop expired failures, and what is known of jobs not in `job_ids`."""
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -197,6 +197,10 @@
         row = self._find_run(key, task, run)
         return row.percent if row is not None else 0
 
+    def lists_running(self, key: str, task: str, run: int) -> bool:
+        """Return whether an upstream listed a run as running in its newest report."""
+        return self._find_run(key, task, run) is not None
+
     def _find_run(self, key: str, task: str, run: int) -> RunReport | None:
         report = self.find(key)
         for row in report.running if report is not None else ():
--- a/src/hyssoprill/coordination/planner/renewals.py
+++ b/src/hyssoprill/coordination/planner/renewals.py
@@ -123,7 +123,7 @@
         report = vm.upstreams.get(task.upstream) if vm is not None else None
         if report is None:
             return False
-        if any((row.task, row.run) == key for row in report.running):
+        if self._fleet.lists_running(task.upstream, *key):
             return True
         return self._fleet.is_responsive(name) and _takes_starts(report, zones_out)
 
--- a/tests/coordination/planner/test_failures.py
+++ b/tests/coordination/planner/test_failures.py
@@ -93,6 +93,19 @@
     assert failures.is_backing_off(step, 1.5)
 
 
+def test_step_backs_off_briefly_again_once_its_refusals_are_forgotten():
+    failures = FailureTracker()
+    step = StepKey("job", 0, 0)
+    for run in (3, 4, 2):
+        failures.record_refusal(step, 0.0, run)
+    assert failures.refused_steps == {step: 4}
+    failures.forget_refusals(step)
+    assert failures.refused_steps == {}
+    failures.record_refusal(step, 1.0, 5)
+    assert failures.is_backing_off(step, 1.05)
+    assert not failures.is_backing_off(step, 1.15)
+
+
 def test_finished_jobs_are_dropped():
     failures = FailureTracker()
     failures.record_failure("a", "job", 1, 1.0)
--- a/tests/coordination/planner/test_refusals.py
+++ b/tests/coordination/planner/test_refusals.py
@@ -5,7 +5,9 @@
 import asyncio
 
 import pytest
+from msgspec.structs import replace
 
+from hyssoprill.clock import boottime_s
 from hyssoprill.protocol.job import ResourceAmounts, Step
 from hyssoprill.protocol.upstream_messages import RunReport
 
@@ -16,12 +18,12 @@
 """Covers a round, and the shortest back-off but not the fourth."""
 
 
-async def order_run(harness, make_agent):
+async def order_run(harness, make_agent, step: Step = STEP):
     entry = harness.entry("entry-1")
     await harness.wait_until(lambda: entry.election.term)
     agent = make_agent(entry, "vm-1")
     agent.report()
-    await harness.submit(NAME, STEP)
+    await harness.submit(NAME, step)
     await harness.wait_until(lambda: entry.ordered_runs().get(TASK))
     return agent
 
@@ -64,3 +66,16 @@
             await refuse_runs(harness, agent, [6], "room")
 
     run_scenario(scenario)
+
+
+def test_refusals_are_kept_while_only_an_earlier_run_is_listed(
+    run_scenario, make_agent
+):
+    async def scenario(harness):
+        agent = await order_run(harness, make_agent, replace(STEP, count=2))
+        agent.running = [RunReport(f"{NAME}.0.0.1", 1, "", 10)]
+        began_s = boottime_s()
+        await refuse_runs(harness, agent, range(1, 5), "room")
+        assert boottime_s() - began_s > MAX_DELAY_S
+
+    run_scenario(scenario)
