Failing test: members of a gang that breaks may start until that is stored

The planner stores the member's end before it withdraws the others, which agents may start meanwhile, to wait and end as broken.

--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -155,6 +155,26 @@
     run_scenario(scenario)
 
 
+def test_rest_of_a_gang_is_withdrawn_before_the_end_of_a_member_is_stored(
+    run_scenario, make_agent
+):
+    async def scenario(harness):
+        vms = ("vm-1", "vm-2")
+        entry, (agent, other) = await start_planner(harness, make_agent, *vms)
+        await harness.submit(NAME, Step(count=2, need=WHOLE, gang=True))
+        await harness.wait_until(lambda: len(entry.ordered_runs()) == 2)
+        runs = {key: (task, run) for task, (key, run) in entry.ordered_runs().items()}
+        harness.store.down = True
+        agent.refused = [(*runs[agent.key], "order expired")]
+        agent.report()
+        await harness.wait_until(
+            lambda: entry.orders(other.vm)[other.key].stopping == [runs[other.key]], 0.5
+        )
+        assert entry.ordered_runs() == {runs[agent.key][0]: (agent.key, 1)}
+
+    run_scenario(scenario)
+
+
 def test_cancelled_job_is_stopped(run_scenario, make_agent):
     async def scenario(harness):
         entry, (agent,) = await start_planner(harness, make_agent, "vm-1")
