The rest of a gang that breaks is withdrawn before that is stored

The stops of the other members were ordered only after the end of that member was stored, so that agents could start them meanwhile, and they waited for the others in vain. The planner orders these stops at once, from what is stored and its stop requests; nothing is started or closed earlier than before.

How often members start in that time was not measured.

--- a/src/hyssoprill/coordination/planner/changes.py
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -51,6 +51,11 @@
             batches[-1].append(record)
         return batches
 
+    @property
+    def steps(self) -> list[StepKey]:
+        """Steps with changes."""
+        return list(self._tasks)
+
     def task(self, key: StepKey, index: int) -> TaskState:
         """Return the state of a task with the changes so far."""
         return self.tasks(key)[index]
--- a/src/hyssoprill/coordination/planner/orders.py
+++ b/src/hyssoprill/coordination/planner/orders.py
@@ -14,7 +14,7 @@
 from .renewals import StartRenewals
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from ...protocol.message import Message
     from ...state.job_table import JobTable
@@ -64,9 +64,11 @@
         """Set the number up to which each upstream's ended runs are stored."""
         self._stored_upto.update(stored_upto)
 
-    def publish(self, term: int) -> None:
-        """Send each VM its orders if they have changed."""
+    def publish(self, term: int, names: Collection[str] | None = None) -> None:
+        """Send each VM, or those named, its orders if they have changed."""
         for name, vm in self._fleet.vms.items():
+            if names is not None and name not in names:
+                continue
             orders = [self._orders(key) for key in vm.upstreams]
             sent = self._sent.get(name)
             if sent is None or sent[1] != orders:
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -183,6 +183,7 @@
         stored_upto = self._closer.close_reported(changes)
         self._closer.close_expired(changes)
         self._closer.record_checkpoints(changes)
+        self._withdraw_broken_gangs(changes)
         await self._append_changes(changes)
         self._orders.acknowledge(stored_upto)
         self._stopping.retain(self._job_table.open_runs)
@@ -196,6 +197,16 @@
             self._orders.publish(term)
         await self._drop_expired_jobs()
 
+    def _withdraw_broken_gangs(self, changes: StepChanges) -> None:
+        """Order the stops of gangs that break, before it is stored why.
+
+        Their members that are yet to start would only wait for the others.
+        """
+        upstreams = self._stop_finder.withdraw_broken_gangs(changes)
+        if upstreams:
+            vms = {parse_upstream_key(key).vm for key in upstreams}
+            self._orders.publish(self._term, vms)
+
     def _renew_starts(self) -> None:
         """Confirm starts that are about to expire, by the config in force now."""
         now_ms = unix_ms()
--- a/src/hyssoprill/coordination/planner/stopping.py
+++ b/src/hyssoprill/coordination/planner/stopping.py
@@ -19,6 +19,7 @@
     from ...protocol.job import ResourceAmounts, Step
     from ...protocol.upstream_messages import UpstreamReport
     from ...state.job_table import JobState, JobTable, OpenRun, TaskState
+    from .changes import StepChanges
     from .failures import FailureTracker
     from .fleet import Fleet
     from .run_times import RunTimes
@@ -55,6 +56,28 @@
                 with set_aside("upstream", report.key):
                     self._stop_on_upstream(report, vm.agent_clock_s)
 
+    def withdraw_broken_gangs(self, changes: StepChanges) -> set[str]:
+        """Request stops of the rest of gangs that break by changes yet to be stored.
+
+        Returns
+        -------
+        set of str
+            The upstreams of the runs that were not being stopped before.
+        """
+        upstreams = set()
+        for key in changes.steps:
+            step = self.job_table.jobs[key.job_id].job.steps[key.step]
+            tasks = changes.tasks(key)
+            open_indices = [i for i, task in enumerate(tasks) if task.phase == OPEN]
+            if not step.gang or len(open_indices) == step.count:
+                continue
+            for index in open_indices:
+                run = (key.task_name(index), tasks[index].run)
+                if run not in self.stopping:
+                    self.stopping.add(run, "gang broken")
+                    upstreams.add(tasks[index].upstream)
+        return upstreams
+
     def _stop_on_upstream(self, report: UpstreamReport, agent_clock_s: float) -> None:
         """Request stops of runs that are stalled there, or that it has no room for."""
         for task, number, since_s in report.stalled:
