--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -7,6 +7,7 @@
 
 from ...clock import boottime_s
 from ...logs import decision
+from ...protocol.upstream_messages import GRANT_ENDED, ORDER_EXPIRED
 from ...state.job_table import FAILED, OPEN
 from .crashes import crashes_upstreams, find_crashes
 from .policy_inputs import rack_of
@@ -32,6 +33,10 @@
 CHECKPOINT_INTERVAL_S = 1.0
 """Interval of storing checkpoints: the planner and an upstream may fail together."""
 
+REFUSED = "refused: "
+LATE_OUTCOMES = frozenset({REFUSED + ORDER_EXPIRED, REFUSED + GRANT_ENDED})
+"""Ends of runs that no upstream has refused: their orders or grants came too late."""
+
 
 @dataclass(slots=True)
 class RunCloser:
@@ -53,6 +58,7 @@
         dict
             For each upstream the highest number of the ends that it reported.
         """
+        self._forget_refusals()
         highest_numbers: dict[str, int] = {}
 
         def close(report: UpstreamReport) -> None:
@@ -70,6 +76,23 @@
         set_aside("upstream", last, close_last)
         return highest_numbers
 
+    def _forget_refusals(self) -> None:
+        """Forget the refusals of steps of which a later run is listed as running."""
+        for step, refused_run in self.failures.refused_steps.items():
+            job_state = self.job_table.jobs.get(step.job_id)
+            if job_state is None:
+                continue
+            tasks = job_state.step_state(step.occurrence, step.step).tasks
+            if any(
+                task.phase == OPEN
+                and task.run > refused_run
+                and self.fleet.lists_running(
+                    task.upstream, step.task_name(index), task.run
+                )
+                for index, task in enumerate(tasks)
+            ):
+                self.failures.forget_refusals(step)
+
     def close_expired(self, changes: StepChanges) -> None:
         """Close runs on upstream incarnations that can no longer run tasks.
 
@@ -127,9 +150,7 @@
         for restarted in self.fleet.restarted_keys(report.key) if ends else ():
             self._close_ended(changes, restarted, ends)
         ends += [(task, run, "closed", "") for task, run in report.closed]
-        ends += [
-            (task, run, f"refused: {why}", "") for task, run, why in report.refused
-        ]
+        ends += [(task, run, REFUSED + why, "") for task, run, why in report.refused]
         self._close_ended(changes, report.key, ends)
         for row in report.ended:
             if row.outcome == "done":
@@ -253,8 +274,8 @@
                 immediate=elapsed_s(before)
                 < max(expected_s * IMMEDIATE_FAILURE_SHARE, MIN_IMMEDIATE_FAILURE_S),
             )
-        elif outcome.startswith("refused"):
-            self.failures.record_refusal(run.step, boottime_s())
+        elif outcome.startswith(REFUSED) and outcome not in LATE_OUTCOMES:
+            self.failures.record_refusal(run.step, boottime_s(), run.run)
         decision(
             "run_ended",
             task=task,
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -55,6 +55,8 @@
         The planner's clock when it last allowed the agent to extend leases.
     granted_clock_s : float or None
         The agent's clock from which it may extend them, None before the first grant.
+    granted_contact_s : float
+        The planner's clock when it received the message with that clock.
     upstreams : dict
         Newest reports of the upstreams, by key.
     ended_upstreams : frozenset of str
@@ -71,6 +73,7 @@
     confirmed_s: float = float("-inf")
     last_grant_s: float = float("-inf")
     granted_clock_s: float | None = None
+    granted_contact_s: float = float("-inf")
     upstreams: dict[str, UpstreamReport] = field(default_factory=dict)
     ended_upstreams: frozenset[str] = frozenset()
     last_reports: dict[str, UpstreamReport] = field(default_factory=dict)
@@ -176,6 +179,7 @@
         vm = self.vms[name]
         vm.last_grant_s = boottime_s()
         vm.granted_clock_s = vm.agent_clock_s
+        vm.granted_contact_s = vm.last_contact_s
         return vm.granted_clock_s
 
     def _extend_lease(self, key: str, duration_s: float) -> None:
@@ -222,6 +226,10 @@
         row = self._find_run(key, task, run)
         return row.percent if row is not None else 0
 
+    def lists_running(self, key: str, task: str, run: int) -> bool:
+        """Return whether an upstream listed a run as running in its newest report."""
+        return self._find_run(key, task, run) is not None
+
     def _find_run(self, key: str, task: str, run: int) -> RunReport | None:
         vm = self.vms.get(key.partition("|")[0])
         return vm.find_run(key, task, run) if vm is not None else None
--- a/src/hyssoprill/coordination/planner/orders.py
+++ b/src/hyssoprill/coordination/planner/orders.py
@@ -4,23 +4,26 @@
 
 from typing import TYPE_CHECKING
 
-from ...clock import unix_ms
+from ...clock import boottime_s, unix_ms
 from ...protocol.upstream_messages import (
     DEFAULT_VALIDITY_S,
     RunOrder,
     UpstreamOrders,
     VmOrders,
 )
+from .renewals import StartRenewals
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from ...protocol.message import Message
     from ...state.job_table import JobTable
     from .fleet import Fleet
     from .runs import StopRequests
+    from .upstream_runs import UpstreamRunsCache
 
     Send = Callable[[str, Message], None]
+    UpstreamVersions = tuple[str, int, int, int]
 
 
 class OrderPublisher:
@@ -35,36 +38,47 @@
     ----------
     validity_s : float
         Starts may be called for this long after they were decided.
+    renewals : StartRenewals
+        Tells when the starts were decided.
     """
 
     def __init__(
-        self, job_table: JobTable, fleet: Fleet, stopping: StopRequests, send: Send
+        self,
+        job_table: JobTable,
+        fleet: Fleet,
+        stopping: StopRequests,
+        upstream_runs: UpstreamRunsCache,
+        send: Send,
     ) -> None:
         self._job_table = job_table
         self._fleet = fleet
         self._stopping = stopping
         self._send = send
         self._sent: dict[str, tuple[tuple[int, int], list[UpstreamOrders]]] = {}
-        self._sent_versions: dict[str, list[tuple[str, int, int, int]]] = {}
+        self._sent_versions: dict[str, tuple[float, list[UpstreamVersions]]] = {}
         self._stored_upto: dict[str, int] = {}
         self._last_number = 0
         self.validity_s = DEFAULT_VALIDITY_S
+        self.renewals = StartRenewals(job_table, fleet, stopping, upstream_runs)
 
     def clear(self) -> None:
         """Drop what was sent, at the start of a term."""
         self._sent.clear()
         self._sent_versions.clear()
         self._stored_upto.clear()
+        self.renewals.clear()
         self._last_number = 0
 
     def acknowledge(self, stored_upto: dict[str, int]) -> None:
         """Set the number up to which each upstream's ended runs are stored."""
         self._stored_upto.update(stored_upto)
 
-    def publish(self, term: int) -> None:
-        """Send each VM its orders if they have changed."""
+    def publish(self, term: int, names: Collection[str] | None = None) -> None:
+        """Send each VM, or those named, its orders if they have changed."""
         for name, vm in self._fleet.vms.items():
-            versions = self._versions(vm.upstreams)
+            if names is not None and name not in names:
+                continue
+            versions = self._versions(name, vm.upstreams)
             if self._sent_versions.get(name) == versions:
                 continue
             orders = [self._orders(key) for key in vm.upstreams]
@@ -73,10 +87,12 @@
             if is_sent or self._send_to(name, term, orders):
                 self._sent_versions[name] = versions
 
-    def _versions(self, upstreams: Iterable[str]) -> list[tuple[str, int, int, int]]:
+    def _versions(
+        self, name: str, upstreams: Iterable[str]
+    ) -> tuple[float, list[UpstreamVersions]]:
         """Return the versions of all that the orders of a VM are made of."""
         runs, stops = self._job_table.open_runs_versions, self._stopping.versions
-        return [
+        return self.renewals.renewed_s(name), [
             (key, runs.get(key, 0), stops.get(key, 0), self._stored_upto.get(key, 0))
             for key in upstreams
         ]
@@ -98,13 +114,21 @@
 
         Returns whether there is such a grant.
         """
-        echo_s = self._fleet.vms[name].granted_clock_s
+        vm = self._fleet.vms[name]
+        echo_s = vm.granted_clock_s
         if echo_s is None:
             return False
         self._last_number += 1
         self._sent[name] = ((term, self._last_number), orders)
-        number, validity_s = self._last_number, self.validity_s
-        message = VmOrders(term, number, echo_s, orders, unix_ms(), validity_s)
+        message = VmOrders(
+            term,
+            self._last_number,
+            echo_s,
+            orders,
+            unix_ms(),
+            self.validity_s,
+            boottime_s() - vm.granted_contact_s,
+        )
         self._send(name, message)
         return True
 
@@ -123,7 +147,7 @@
                     run.run,
                     job_state.job.payload,
                     stored.checkpoint,
-                    stored.started_ms,
+                    self.renewals.decided_ms((task, run.run), stored.started_ms),
                 )
             )
         return UpstreamOrders(key, runs, stopping, self._stored_upto.get(key, 0))
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -100,7 +100,7 @@
         self._stop_finder = StopFinder(
             *shared, self._failures, self._run_times, self._upstream_runs
         )
-        self._orders = OrderPublisher(*shared, send)
+        self._orders = OrderPublisher(*shared, self._upstream_runs, send)
         self.set_bounds(bounds)
         self._waiting_since_s: dict[StepKey, float] = {}
         self._last_drop_s = boottime_s()
@@ -217,6 +217,7 @@
             stored_upto = self._closer.close_reported(changes)
             self._closer.close_expired(changes)
             self._closer.record_checkpoints(changes)
+            self._withdraw_broken_gangs(changes)
         await self._append_changes(changes)
         self._orders.acknowledge(stored_upto)
         self._stopping.retain(self._job_table.open_runs)
@@ -229,9 +230,27 @@
         await self._append_changes(changes)
         if self._election.term == term:
             with self._load.computing("orders"):
+                self._renew_starts()
                 self._orders.publish(term)
         await self._drop_expired_jobs()
 
+    def _withdraw_broken_gangs(self, changes: StepChanges) -> None:
+        """Order the stops of gangs that break, before it is stored why.
+
+        Their members that are yet to start would only wait for the others.
+        """
+        upstreams = self._stop_finder.withdraw_broken_gangs(changes)
+        if upstreams:
+            vms = {parse_upstream_key(key).vm for key in upstreams}
+            self._orders.publish(self._term, vms)
+
+    def _renew_starts(self) -> None:
+        """Confirm starts that are about to expire, by the config in force now."""
+        now_ms = unix_ms()
+        if self._election.may_grant:
+            zones_out = self._operator_config().zones_out
+            self._orders.renewals.renew(self._orders.validity_s, zones_out, now_ms)
+
     async def _append_changes(self, changes: StepChanges) -> None:
         for batch in changes.batches():
             await self._election.append(batch)
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -16,7 +16,12 @@
 )
 from ...logs import decision
 from ...ports.upstream import RUN_ALREADY_ENDED
-from ...protocol.upstream_messages import UpstreamOrders, UpstreamReport
+from ...protocol.upstream_messages import (
+    GRANT_ENDED,
+    ORDER_EXPIRED,
+    UpstreamOrders,
+    UpstreamReport,
+)
 from ...tasks import TaskSet
 from .departure import DepartureWatch
 from .lease import MIN_LEASE_S, LeaseTracker
@@ -27,7 +32,7 @@
 from .stop_calls import StopCalls
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Mapping
 
     from ...ports.upstream import CheckIn, RunListing, UpstreamPort
     from ...protocol.upstream_key import UpstreamKey
@@ -185,15 +190,19 @@
     # Orders
 
     def apply_orders(
-        self, orders: UpstreamOrders, echoed_clock_s: float, sent_ms: int
+        self,
+        orders: UpstreamOrders,
+        echoed_clock_s: float,
+        sent_ms: int,
+        echo_age_s: float = 0.0,
     ) -> None:
         """Replace earlier orders, then start missing runs and stop surplus ones.
 
-        `echoed_clock_s` and `sent_ms` are those of the message with the orders.
+        The other parameters are fields of the message with the orders.
         """
         is_first = self._orders is None
         self._orders = orders
-        self._order_ages.update(orders.runs, echoed_clock_s, sent_ms)
+        self._order_ages.update(orders.runs, echoed_clock_s, sent_ms, echo_age_s)
         self._ordered_runs = {(run.task, run.run): run for run in orders.runs}
         if is_first:
             # An earlier agent process may already have tried to start these runs.
@@ -259,7 +268,7 @@
     async def _withdraw(self, key: RunKey) -> None:
         """Report an ordered run as refused once it can no longer start."""
         self.start_calls.in_doubt.add(key)
-        await self._refuse_when_settled(key, "the grant ended")
+        await self._refuse_when_settled(key, GRANT_ENDED)
 
     def _call(
         self,
@@ -301,6 +310,7 @@
                 continue
             sent_s, lease_s = boottime_s(), self._lease_length_s
             self.start_calls.begin(key)
+            self._order_ages.hold(key)
             try:
                 answer = await self._port.start(
                     order,
@@ -345,6 +355,11 @@
 
     async def _settle_expired(self, key: RunKey) -> None:
         """Settle a run whose order has expired: it goes on if a call has started it."""
+        evidence = {
+            "age_s": round(self._order_ages.age_s(key), 3),
+            "echo_age_s": round(self._grant.echo_age_s, 3),
+            "blocker": self._start_blocker(),
+        }
         if key in self.start_calls.in_doubt:
             await self._wait_for_listing(boottime_s())
             if self._listing is not None and self._listing.lists_running(*key):
@@ -353,7 +368,7 @@
                     "run_started", task=key[0], run=key[1], term=self.term, why="listed"
                 )
                 return
-        await self._refuse_when_settled(key, "order expired")
+        await self._refuse_when_settled(key, ORDER_EXPIRED, evidence)
 
     async def _wait_for_listing(
         self, after_s: float, *, without: RunKey | None = None
@@ -376,21 +391,23 @@
         finally:
             self._listing_waits -= 1
 
-    async def _refuse_when_settled(self, key: RunKey, reason: str) -> None:
+    async def _refuse_when_settled(
+        self, key: RunKey, reason: str, evidence: Mapping[str, object] | None = None
+    ) -> None:
         """Report a run as refused once it is certain that it never ran and never will.
 
         A refusal concerns a single call. An earlier unanswered call may have started
-        the run, or may still start it, until the run has been stopped.
+        the run, or may still start it, until the run has been stopped. `evidence` is
+        what the log tells beside the reason.
         """
         if key in self.start_calls.in_doubt or reason == RUN_ALREADY_ENDED:
             await self._stop(key)
             await self._wait_for_listing(boottime_s(), without=key)
             if self._listing is not None and self._listing.lists_ended(*key):
                 return
-        self._refuse(key, reason)
-
-    def _refuse(self, key: RunKey, reason: str) -> None:
-        decision("start_refused", task=key[0], run=key[1], why=reason)
+        decision(
+            "start_refused", task=key[0], run=key[1], why=reason, **(evidence or {})
+        )
         self._refused[key] = reason
         self._on_change()
 
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -19,6 +19,11 @@
 DEFAULT_VALIDITY_S = 3.0
 """Validity of orders that do not name it."""
 
+ORDER_EXPIRED = "order expired"
+"""Reason of a refused run whose upstream was not called in time."""
+GRANT_ENDED = "the grant ended"
+"""Reason of a refused run that its agent withdrew without contact with a planner."""
+
 
 class RunReport(Struct, frozen=True, array_like=True):
     """A run that an upstream lists as running.
@@ -157,7 +162,8 @@
     checkpoint : str
         Checkpoint to resume from, '' to start afresh.
     decided_ms : int
-        When the start was decided, in milliseconds since 1970; 0 if not known.
+        When the start was decided, in milliseconds since 1970; 0 if not known. A later
+        time for the same run is a new decision, which confirms the start.
     """
 
     task: str
@@ -195,6 +201,9 @@
         When the planner sent the message, in milliseconds since 1970.
     validity_s : float
         Starts may be called for this long after they were decided.
+    echo_age_s : float
+        For how long, as it sent the message, the planner had had the agent's message
+        whose clock it echoes; 0 if not known. Measured on a clock that is never set.
     """
 
     term: Count
@@ -203,6 +212,7 @@
     upstreams: list[UpstreamOrders]
     sent_ms: int = 0
     validity_s: float = DEFAULT_VALIDITY_S
+    echo_age_s: float = 0.0
 
 
 class Grant(Message):
@@ -247,6 +257,8 @@
 __all__ = [
     "DEFAULT_VALIDITY_S",
     "FULL_PROGRESS_PERCENT",
+    "GRANT_ENDED",
+    "ORDER_EXPIRED",
     "EndReport",
     "Grant",
     "Referral",
