A planner that is behind, or has no runs, hands over to a clearly faster entry

A weak entry that was the planner answered agents seconds late, its orders expired, and it kept the term as long as it renewed it in time; nothing told how late it was.

Agents report the age of the message that the newest grant answers, by their own clock, and the term of its planner, in optional fields that earlier processes ignore; messages without an answer count by their age. A planner whose median over the VMs in contact has been above 0.25 s for 1.5 s, or that has no open runs, hands over if it knows a clearly faster entry. A term that faster entries have left to a slower one is kept for 5 s, and twice as long each time, as they may be gone. Each hand-over is logged with its inputs.

--- a/src/hyssoprill/coordination/intake/service.py
+++ b/src/hyssoprill/coordination/intake/service.py
@@ -25,6 +25,7 @@
 from ..identity import new_incarnation
 from ..planner.election import PlannerElection
 from ..planner.fitness import EntrySpeeds, SpeedMeter
+from ..planner.hand_over import HandOver
 from ..planner.planner import Planner
 from ..planner.replica import Replica
 from .intake import JobIntake
@@ -137,6 +138,11 @@
             self._send,
             bounds=self._bounds,
         )
+        delays = self._planner.answer_delays
+        self.metrics.watch("answer_delay_seconds", lambda: delays.median_s)
+        hand_over = HandOver(
+            self.election, self.replica.job_table, self._speeds, delays
+        )
         for name, loop in (
             ("replica", self.replica.run),
             ("config", self.config_watcher.run),
@@ -144,6 +150,7 @@
             ("announcement", self._publish_address),
             ("entry_list", self._entry_watcher.run),
             ("speed", self._speed_meter.run),
+            ("hand_over", hand_over.run),
         ):
             self._tasks.supervise(name, loop)
         # Another entry plans while this one cannot.
--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -139,12 +139,12 @@
         self.resigning = True
         await self._leave_term("resigned")
 
-    async def give_up(self) -> None:
+    async def give_up(self, reason: str = "the planner failed") -> None:
         """Leave the term to another entry, which may not fail where this one did."""
         if not self._term:
             return
         self._may_claim_from_s = boottime_s() + CLAIM_PAUSE_S
-        await self._leave_term("the planner failed")
+        await self._leave_term(reason)
 
     async def _leave_term(self, reason: str) -> None:
         if not self._term:
--- a/src/hyssoprill/coordination/planner/fitness.py
+++ b/src/hyssoprill/coordination/planner/fitness.py
@@ -25,7 +25,7 @@
 
 UNIT_ITERATIONS = 10_000
 """Size of the unit of work; it takes about 1 ms of a whole core."""
-FIRST_SAMPLE_INTERVAL_S = 0.02
+FIRST_SAMPLE_INTERVAL_S = 0.05
 SAMPLE_INTERVAL_S = 3.0
 WINDOW_SAMPLES = 5
 """Number of newest samples that count.
@@ -96,11 +96,16 @@
 
     @property
     def faster_peer(self) -> tuple[str, float] | None:
-        """Name and speed of the fastest entry, if this one is clearly slower."""
-        if not self.own or not self._peers:
+        """Name and speed of the fastest peer, if this entry is clearly slower."""
+        if not self._peers:
             return None
         name, speed = max(self._peers.items(), key=lambda one: one[1])
-        return (name, speed) if self.own < MAX_RELATIVE_SPEED * speed else None
+        return (name, speed) if _is_clearly_slower(self.own, speed) else None
+
+    def is_slower(self, name: str) -> bool:
+        """Return whether an entry is clearly slower than another known one."""
+        speed = self.own if name == self._name else self._peers.get(name, 0.0)
+        return _is_clearly_slower(speed, max([self.own, *self._peers.values()]))
 
 
 class SpeedMeter:
@@ -174,6 +179,11 @@
         decision("speed_published", speed=round(speed, 3))
 
 
+def _is_clearly_slower(speed: float, fastest: float) -> bool:
+    """Compare a speed, 0 if it is not known, with the fastest one."""
+    return 0 < speed < MAX_RELATIVE_SPEED * fastest
+
+
 def _work_one_unit() -> int:
     value = 1
     for step in range(UNIT_ITERATIONS):
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -17,6 +17,7 @@
 from ...state.job_table import SIZES_KEY
 from ...tasks import log_failure
 from ..policy.dispatch.dispatch import plan_round
+from .answer_delays import AnswerDelays
 from .changes import StepChanges
 from .closing import RunCloser
 from .failures import FailureTracker
@@ -68,6 +69,11 @@
         Times that are promised to callers.
     policy : callable
         Decides on starts and stops of a round, like `plan_round`.
+
+    Attributes
+    ----------
+    answer_delays : AnswerDelays
+        How late agents are answered.
     """
 
     def __init__(
@@ -87,6 +93,7 @@
         self._send = send
         self._round_requested = asyncio.Event()
         self._fleet = Fleet()
+        self.answer_delays = AnswerDelays(self._fleet)
         self._stopping = StopRequests()
         self._failures = FailureTracker()
         self._speeds = SpeedEstimates()
@@ -117,6 +124,7 @@
         if not self._update_term():
             return
         self._fleet.apply_report(report)
+        self.answer_delays.record(report, self._term)
         self._grant(report.vm, report.number)
         self.request_round()
 
@@ -125,6 +133,7 @@
         if not self._update_term():
             return
         vm = self._fleet.record_contact(message.vm, message.clock_s, message.number)
+        self.answer_delays.record(message, self._term)
         is_report_known = vm.report_number == message.number
         self._grant(message.vm, message.number if is_report_known else 0)
         if is_report_known:
@@ -155,6 +164,7 @@
                 self._send(name, Referral(self._term, "", ""))
         self._term = self._election.term
         self._fleet.reset()
+        self.answer_delays.clear()
         self._stopping.clear()
         self._orders.clear()
         self._run_times.rebuild()
--- a/src/hyssoprill/coordination/upstream/vm_agent.py
+++ b/src/hyssoprill/coordination/upstream/vm_agent.py
@@ -27,6 +27,7 @@
 from ...transport.link import LinkHub
 from ..entry_watcher import EntryWatcher
 from ..identity import new_incarnation
+from .answer_delay import AnswerDelay
 from .answer_limit import AnswerLimit
 from .late_starts import MAX_LOGGED_RUNS, LateStarts
 from .planner_grant import PlannerGrant
@@ -108,6 +109,7 @@
         self._searching = True
         self._quick_searches = 0
         self._answer_limit = AnswerLimit(MAX_ANSWERING_REPORTS, HEARTBEAT_INTERVAL_S)
+        self._answers = AnswerDelay()
         self._ended_term = 0
         self._report_number = 1
         self._newest_orders = (0, 0)
@@ -224,6 +226,7 @@
     async def _(self, message: Grant, sender: str) -> None:
         if not self._grant.update(message.term, message.echoed_clock_s):
             return
+        self._answers.record_answer(message.term, message.echoed_clock_s)
         self._confirm_planner(sender)
         if message.report_number != self._report_number and self._answer_limit.allow():
             await self._send_report()
@@ -336,7 +339,11 @@
             else:
                 await self._send(
                     VmHeartbeat(
-                        self.vm, boottime_s(), self._report_number, *self._newest_orders
+                        self.vm,
+                        boottime_s(),
+                        self._report_number,
+                        *self._newest_orders,
+                        *self._answers.newest,
                     )
                 )
 
@@ -373,6 +380,7 @@
                 [session.report() for session in self._sessions.values()],
                 [str(key) for key in self._ended_keys],
                 self._reported_last_states(),
+                *self._answers.newest,
             )
         )
 
@@ -388,11 +396,12 @@
             if one.running or one.ended or one.unsettled or one.unlisted
         ]
 
-    async def _send(self, message: Message) -> None:
+    async def _send(self, message: VmReport | VmHeartbeat) -> None:
         """Send to the planner, or to other entries while the planner is unknown.
 
         Where many entries could answer, a quick search asks only some.
         """
+        self._answers.record_sent(message.clock_s)
         if self._planner:
             await self._hub.send(self._planner, message)
             return
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from .bounds import Count, SignedCount
+from .bounds import Count, Quantity, SignedCount
 from .job import ZERO_AMOUNTS, ResourceAmounts
 from .message import Message
 from .upstream_key import KeyText
@@ -117,6 +117,10 @@
         Keys of upstream incarnations that are known to have ended.
     last_reports : list of UpstreamReport
         Last state of some of these, as far as it tells of runs.
+    answer_delay_s : float
+        How late the planner answers this agent, measured with the agent's clock.
+    answer_term : int
+        Term of that planner; 0 if none has answered.
     """
 
     vm: str
@@ -125,6 +129,8 @@
     upstreams: list[UpstreamReport]
     ended_keys: list[KeyText]
     last_reports: list[UpstreamReport] = []
+    answer_delay_s: Quantity = 0.0
+    answer_term: Count = 0
 
 
 class VmHeartbeat(Message):
@@ -140,6 +146,8 @@
         Term of the newest orders.
     orders_number : int
         Number of the newest orders.
+    answer_delay_s, answer_term
+        As in `VmReport`.
     """
 
     vm: str
@@ -147,6 +155,8 @@
     number: Count
     term: Count
     orders_number: Count
+    answer_delay_s: Quantity = 0.0
+    answer_term: Count = 0
 
 
 class RunOrder(Struct, frozen=True, array_like=True):
--- a/tests/coordination/planner/test_hand_over.py
+++ b/tests/coordination/planner/test_hand_over.py
@@ -3,16 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from standins.job_store import MemoryStore
 
+from hyssoprill.clock import simulated_time
 from hyssoprill.coordination.intake.service import DurableJobService
+from hyssoprill.coordination.planner.answer_delays import AnswerDelays
+from hyssoprill.coordination.planner.fitness import EntrySpeeds
+from hyssoprill.coordination.planner.fleet import Fleet
+from hyssoprill.coordination.planner.hand_over import (
+    BEHIND_FOR_S,
+    MAX_ANSWER_DELAY_S,
+    MAX_KEPT_S,
+    MIN_KEPT_S,
+    HandOver,
+)
 from hyssoprill.coordination.upstream.vm_agent import VmAgent
 from hyssoprill.job_settings import JobBounds
 from hyssoprill.ports.store import Record
 from hyssoprill.ports.upstream import CheckIn, RunListing
 from hyssoprill.protocol.job import ResourceAmounts
+from hyssoprill.protocol.upstream_messages import VmHeartbeat
 from hyssoprill.state.operator_config import OperatorConfig
 from hyssoprill.transport.metrics import Metrics
 
@@ -119,3 +133,142 @@
                 assert slow.election.term == 0
 
     run_scenario(scenario)
+
+
+class WatchedPlanner:
+    """A planner of term 3 with three VMs and runs, in simulated time.
+
+    Attributes
+    ----------
+    terms : list of int
+        Terms that were handed over.
+    """
+
+    def __init__(self, speed: float = 100.0) -> None:
+        self.now_s = 100.0
+        self.terms: list[int] = []
+        self.election = SimpleNamespace(term=3, may_grant=True, give_up=self._give_up)
+        self.table = SimpleNamespace(
+            term=SimpleNamespace(term=3, planner="entry-1"), open_runs={"u": {"t": 1}}
+        )
+        self.speeds = EntrySpeeds("entry-1")
+        self.speeds.own = speed
+        self.fleet = Fleet()
+        self.delays = AnswerDelays(self.fleet)
+        self.hand_over = HandOver(self.election, self.table, self.speeds, self.delays)
+
+    async def _give_up(self, _reason: str) -> None:
+        self.terms.append(self.election.term)
+        self.claim(self.election.term + 1)
+
+    def claim(self, term: int) -> None:
+        self.election.term = self.table.term.term = term
+
+    async def pass_time(self, duration_s: float, *delays_s: float) -> None:
+        """Check each 0.1 s while the VMs report these delays."""
+        for _ in range(round(duration_s / 0.1)):
+            for vm, delay_s in enumerate(delays_s):
+                message = VmHeartbeat(
+                    f"vm-{vm}", 1.0, 1, 0, 0, delay_s, self.election.term
+                )
+                self.fleet.record_contact(message.vm, 1.0)
+                self.delays.record(message, self.election.term)
+            await self.hand_over.check()
+            self.now_s += 0.1
+
+
+def watch_planner(scenario, **fields: float) -> None:
+    planner = WatchedPlanner(**fields)
+    with simulated_time(lambda: planner.now_s):
+        asyncio.run(scenario(planner))
+
+
+LATE_S = 2 * MAX_ANSWER_DELAY_S
+
+
+@pytest.mark.parametrize(
+    "delays_s", [(0.0, 0.0, 9.0), (MAX_ANSWER_DELAY_S,) * 3, (), (0.0,) * 3]
+)
+def test_planner_that_answers_most_vms_in_time_keeps_the_term(delays_s):
+    async def scenario(planner):
+        await planner.pass_time(1.0)
+        planner.speeds.update("entry-2", "200")
+        await planner.pass_time(3 * BEHIND_FOR_S, *delays_s)
+        assert planner.terms == []
+
+    watch_planner(scenario)
+
+
+def test_planner_that_is_behind_for_a_moment_keeps_the_term():
+    async def scenario(planner):
+        await planner.pass_time(1.0)
+        planner.speeds.update("entry-2", "200")
+        for _ in range(3):
+            await planner.pass_time(BEHIND_FOR_S - 0.2, *(LATE_S,) * 3)
+            await planner.pass_time(0.2, *(0.0,) * 3)
+        assert planner.terms == []
+        await planner.pass_time(BEHIND_FOR_S + 0.2, *(LATE_S,) * 3)
+        assert planner.terms == [3]
+
+    watch_planner(scenario)
+
+
+def test_planner_without_runs_hands_over_when_a_faster_entry_becomes_known():
+    async def scenario(planner):
+        planner.table.open_runs.clear()
+        await planner.pass_time(1.0)
+        assert planner.terms == []
+        planner.speeds.update("entry-2", "200")
+        await planner.pass_time(0.2)
+        assert planner.terms == [3]
+
+    watch_planner(scenario)
+
+
+def test_planner_that_no_entry_outdoes_keeps_the_term_however_late_it_answers():
+    async def scenario(planner):
+        planner.speeds.update("entry-2", "200")
+        await planner.pass_time(20.0, *(LATE_S,) * 3)
+        planner.table.open_runs.clear()
+        await planner.pass_time(20.0, *(LATE_S,) * 3)
+        assert planner.terms == []
+
+    watch_planner(scenario, speed=150.0)
+
+
+def test_term_that_faster_entries_leave_is_kept_for_longer_each_time():
+    """Else the record of an entry that is gone would end term after term."""
+
+    async def scenario(planner):
+        planner.table.open_runs.clear()
+        planner.speeds.update("gone", "200")
+        waits_s = []
+        for _ in range(9):
+            began_s, count = planner.now_s, len(planner.terms)
+            while len(planner.terms) == count:
+                await planner.pass_time(0.1)
+            waits_s.append(planner.now_s - began_s)
+        expected_s = [min(MIN_KEPT_S * 2**n, MAX_KEPT_S) for n in range(9)]
+        assert waits_s == pytest.approx(expected_s, abs=0.3)
+        planner.table.term.planner = "gone"
+        planner.claim(20)
+        await planner.pass_time(0.1)
+        planner.table.term.planner = "entry-1"
+        planner.claim(21)
+        await planner.pass_time(MIN_KEPT_S + 0.2)
+        assert planner.terms[-1] == 21
+
+    watch_planner(scenario)
+
+
+def test_delays_of_an_earlier_term_and_of_silent_vms_do_not_count():
+    planner = WatchedPlanner()
+    with simulated_time(lambda: planner.now_s):
+        for vm in ("vm-1", "vm-2"):
+            planner.fleet.record_contact(vm, 1.0)
+        planner.delays.record(VmHeartbeat("vm-1", 1.0, 1, 0, 0, 9.0, 2), 3)
+        assert planner.delays.median_s == 0
+        planner.delays.record(VmHeartbeat("vm-2", 1.0, 1, 0, 0, 2.0, 3), 3)
+        assert planner.delays.median_s == 2.0
+        planner.now_s += 5.0
+        assert planner.delays.median_s == 0
--- a/tests/protocol/test_upstream_messages.py
+++ b/tests/protocol/test_upstream_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from hyssoprill.errors import FrameError
@@ -12,6 +13,7 @@
     RunReport,
     UpstreamOrders,
     UpstreamReport,
+    VmHeartbeat,
     VmOrders,
     VmReport,
 )
@@ -60,3 +62,11 @@
     message = report(running=[RunReport("t", 2**53 - 1, "", 100)], remaining_ms=-1)
     envelope = Envelope("vm-1", "1", message)
     assert decode(encode(envelope)) == envelope
+
+
+def test_heartbeat_of_a_process_that_measures_no_delay_is_understood():
+    packed = encode(Envelope("vm-1", "1", VmHeartbeat("vm-1", 1.0, 1, 2, 3, 0.5, 2)))
+    fields = msgspec.msgpack.decode(packed)
+    fields[-1] = fields[-1][:-2]
+    message = decode(msgspec.msgpack.encode(fields)).body
+    assert message == VmHeartbeat("vm-1", 1.0, 1, 2, 3)
