A planner that follows its own earlier process hands over to a faster entry

A term that began less than 1 s ago is handed over if a faster entry is known, and a claim after an earlier process of the same entry does not count as left by others. A planner that has handed over claims again after 1 s instead of 3 s, as the faster entry may be gone.

--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -139,11 +139,19 @@
         self.resigning = True
         await self._leave_term("resigned")
 
-    async def give_up(self, reason: str = "the planner failed") -> None:
-        """Leave the term to another entry, which may not fail where this one did."""
+    async def give_up(
+        self, reason: str = "the planner failed", *, pause_s: float = CLAIM_PAUSE_S
+    ) -> None:
+        """Leave the term to another entry, which may not fail where this one did.
+
+        Parameters
+        ----------
+        pause_s : float
+            Time for which this entry claims no term.
+        """
         if not self._term:
             return
-        self._may_claim_from_s = boottime_s() + CLAIM_PAUSE_S
+        self._may_claim_from_s = boottime_s() + pause_s
         await self._leave_term(reason)
 
     async def _leave_term(self, reason: str) -> None:
--- a/src/hyssoprill/coordination/planner/hand_over.py
+++ b/src/hyssoprill/coordination/planner/hand_over.py
@@ -1,4 +1,4 @@
-"""Hands the term over to a faster entry when this planner is behind or has no runs."""
+"""Hands the term over to a faster entry if this planner is behind, or new."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from ...logs import decision
 
 if TYPE_CHECKING:
-    from ...state.job_table import JobTable
+    from ...state.job_table import JobTable, Term
     from .answer_delays import AnswerDelays
     from .election import PlannerElection
     from .fitness import EntrySpeeds
@@ -27,6 +27,15 @@
 """Bounds of the time for which an entry keeps a term that faster ones left to it.
 
 It doubles with each such term, at all entries alike, as the faster ones may be gone."""
+NEW_FOR_S = 1.0
+"""A term may be handed over for this long after it began, also while it is not behind.
+
+Longer than a process takes to measure its speed and to read those of the others. Agents
+have no orders of it yet, so that the hand-over costs little."""
+CLAIM_PAUSE_S = 1.0
+"""A planner that has handed over leaves the claim to others for this long.
+
+Shorter than after a failure, as the faster entry may be gone."""
 CHECK_INTERVAL_S = 0.1
 
 
@@ -56,7 +65,8 @@
         self._job_table = job_table
         self._speeds = speeds
         self._delays = delays
-        self._known_term = 0
+        self._known_term: Term | None = None
+        self._began_s = float("-inf")
         self._kept_s = MIN_KEPT_S
         self._not_before_s = float("-inf")
         self._behind_since_s = float("inf")
@@ -86,19 +96,24 @@
             peer=peer,
             peer_speed=round(peer_speed, 3),
         )
-        await self._election.give_up(f"handed over to a faster entry, {reason}")
+        await self._election.give_up(
+            f"handed over to a faster entry, {reason}", pause_s=CLAIM_PAUSE_S
+        )
 
     def _follow_term(self) -> None:
-        """Set for how long a new term is kept, if its planner is clearly slower."""
-        current = self._job_table.term
-        if current is None or current.term == self._known_term:
+        """Set for how long a new term is kept, if faster entries have left it."""
+        before, self._known_term = self._known_term, self._job_table.term
+        current = self._known_term
+        if current is None or (before is not None and current.term == before.term):
+            return
+        self._began_s = boottime_s()
+        self._not_before_s = float("-inf")
+        if before is None or _is_restart(before, current):
             return
-        self._known_term = current.term
         if not self._speeds.is_slower(current.planner):
             self._kept_s = MIN_KEPT_S
-            self._not_before_s = float("-inf")
             return
-        self._not_before_s = boottime_s() + self._kept_s
+        self._not_before_s = self._began_s + self._kept_s
         self._kept_s = min(2 * self._kept_s, MAX_KEPT_S)
 
     def _reason(self) -> str:
@@ -109,6 +124,8 @@
             return ""
         if not any(self._job_table.open_runs.values()):
             return "nothing runs"
+        if boottime_s() - self._began_s < NEW_FOR_S:
+            return "term is new"
         if self._delays.median_s <= MAX_ANSWER_DELAY_S:
             self._behind_since_s = float("inf")
             return ""
@@ -117,4 +134,10 @@
         return "behind" if is_behind else ""
 
 
+def _is_restart(before: Term, current: Term) -> bool:
+    """Tell whether a planner follows its earlier process, as no other could yet."""
+    is_same = (before.planner, before.resigned) == (current.planner, False)
+    return is_same and before.incarnation != current.incarnation
+
+
 __all__ = ["HandOver"]
--- a/tests/coordination/planner/test_hand_over.py
+++ b/tests/coordination/planner/test_hand_over.py
@@ -19,6 +19,7 @@
     MAX_ANSWER_DELAY_S,
     MAX_KEPT_S,
     MIN_KEPT_S,
+    NEW_FOR_S,
     HandOver,
 )
 from hyssoprill.coordination.upstream.vm_agent import VmAgent
@@ -27,6 +28,7 @@
 from hyssoprill.ports.upstream import CheckIn, RunListing
 from hyssoprill.protocol.job import ResourceAmounts
 from hyssoprill.protocol.upstream_messages import VmHeartbeat
+from hyssoprill.state.job_table import Term
 from hyssoprill.state.operator_config import OperatorConfig
 from hyssoprill.transport.metrics import Metrics
 
@@ -149,7 +151,7 @@
         self.terms: list[int] = []
         self.election = SimpleNamespace(term=3, may_grant=True, give_up=self._give_up)
         self.table = SimpleNamespace(
-            term=SimpleNamespace(term=3, planner="entry-1"), open_runs={"u": {"t": 1}}
+            term=Term(3, "entry-1", "", "1"), open_runs={"u": {"t": 1}}
         )
         self.speeds = EntrySpeeds("entry-1")
         self.speeds.own = speed
@@ -157,12 +159,13 @@
         self.delays = AnswerDelays(self.fleet)
         self.hand_over = HandOver(self.election, self.table, self.speeds, self.delays)
 
-    async def _give_up(self, _reason: str) -> None:
+    async def _give_up(self, _reason: str, *, pause_s: float) -> None:
         self.terms.append(self.election.term)
-        self.claim(self.election.term + 1)
+        self.claim("entry-1", self.table.term.incarnation)
 
-    def claim(self, term: int) -> None:
-        self.election.term = self.table.term.term = term
+    def claim(self, name: str, incarnation: str = "1") -> None:
+        self.election.term += 1
+        self.table.term = Term(self.election.term, name, "", incarnation)
 
     async def pass_time(self, duration_s: float, *delays_s: float) -> None:
         """Check each 0.1 s while the VMs report these delays."""
@@ -191,7 +194,7 @@
 )
 def test_planner_that_answers_most_vms_in_time_keeps_the_term(delays_s):
     async def scenario(planner):
-        await planner.pass_time(1.0)
+        await planner.pass_time(NEW_FOR_S + 0.2)
         planner.speeds.update("entry-2", "200")
         await planner.pass_time(3 * BEHIND_FOR_S, *delays_s)
         assert planner.terms == []
@@ -201,7 +204,7 @@
 
 def test_planner_that_is_behind_for_a_moment_keeps_the_term():
     async def scenario(planner):
-        await planner.pass_time(1.0)
+        await planner.pass_time(NEW_FOR_S + 0.2)
         planner.speeds.update("entry-2", "200")
         for _ in range(3):
             await planner.pass_time(BEHIND_FOR_S - 0.2, *(LATE_S,) * 3)
@@ -216,7 +219,7 @@
 def test_planner_without_runs_hands_over_when_a_faster_entry_becomes_known():
     async def scenario(planner):
         planner.table.open_runs.clear()
-        await planner.pass_time(1.0)
+        await planner.pass_time(NEW_FOR_S + 0.2)
         assert planner.terms == []
         planner.speeds.update("entry-2", "200")
         await planner.pass_time(0.2)
@@ -225,6 +228,21 @@
     watch_planner(scenario)
 
 
+def test_planner_that_follows_its_earlier_process_hands_over_at_once():
+    """No other entry could claim, so that the faster ones need not be gone."""
+
+    async def scenario(planner):
+        await planner.pass_time(NEW_FOR_S + 0.2)
+        planner.speeds.update("entry-2", "200")
+        await planner.pass_time(0.2, *(0.0,) * 3)
+        assert planner.terms == []
+        planner.claim("entry-1", "2")
+        await planner.pass_time(0.2, *(0.0,) * 3)
+        assert planner.terms == [4]
+
+    watch_planner(scenario)
+
+
 def test_planner_that_no_entry_outdoes_keeps_the_term_however_late_it_answers():
     async def scenario(planner):
         planner.speeds.update("entry-2", "200")
@@ -241,7 +259,9 @@
 
     async def scenario(planner):
         planner.table.open_runs.clear()
+        await planner.pass_time(0.1)
         planner.speeds.update("gone", "200")
+        await planner.pass_time(0.1)
         waits_s = []
         for _ in range(9):
             began_s, count = planner.now_s, len(planner.terms)
@@ -250,13 +270,15 @@
             waits_s.append(planner.now_s - began_s)
         expected_s = [min(MIN_KEPT_S * 2**n, MAX_KEPT_S) for n in range(9)]
         assert waits_s == pytest.approx(expected_s, abs=0.3)
-        planner.table.term.planner = "gone"
-        planner.claim(20)
+        planner.election.may_grant = False
+        planner.claim("gone")
         await planner.pass_time(0.1)
-        planner.table.term.planner = "entry-1"
-        planner.claim(21)
-        await planner.pass_time(MIN_KEPT_S + 0.2)
-        assert planner.terms[-1] == 21
+        planner.election.may_grant = True
+        planner.claim("entry-1")
+        began_s, count = planner.now_s, len(planner.terms)
+        while len(planner.terms) == count:
+            await planner.pass_time(0.1)
+        assert planner.now_s - began_s == pytest.approx(MIN_KEPT_S, abs=0.3)
 
     watch_planner(scenario)
 
