--- a/src/hyssoprill/coordination/intake/service.py
+++ b/src/hyssoprill/coordination/intake/service.py
@@ -129,7 +129,7 @@
             self._store,
             self.replica,
             append_through_peer=self._relay.append,
-            claim_delay_s=lambda: self._speeds.claim_delay_s,
+            claim_delay_s=self._speeds.claim_delay_s,
         )
         self._planner = Planner(
             self.replica,
--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -61,7 +61,7 @@
     append_through_peer : callable, optional
         Appends records through another entry.
     claim_delay_s : callable, optional
-        Returns how long this entry leaves a vacant term to others.
+        Returns how long this entry leaves a free term to others, given who had it.
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         replica: Replica,
         *,
         append_through_peer: AppendThroughPeer | None = None,
-        claim_delay_s: Callable[[], float] = lambda: 0.0,
+        claim_delay_s: Callable[[str], float] = lambda _former_planner: 0.0,
     ) -> None:
         self._name = name
         self._claim_delay_s = claim_delay_s
@@ -243,7 +243,10 @@
             self._free_since_s = float("inf")
             return False
         self._free_since_s = min(self._free_since_s, boottime_s())
-        delay_s = 0.0 if self._is_of_earlier_process() else self._claim_delay_s()
+        if self._is_of_earlier_process():
+            return True
+        current = replica.job_table.term
+        delay_s = self._claim_delay_s(current.planner if current is not None else "")
         return boottime_s() - self._free_since_s >= delay_s
 
     def _is_term_free(self) -> bool:
--- a/src/hyssoprill/coordination/planner/fitness.py
+++ b/src/hyssoprill/coordination/planner/fitness.py
@@ -89,10 +89,16 @@
         if name in self._peers or len(self._peers) < MAX_KNOWN_ENTRIES:
             self._peers[name] = speed
 
-    @property
-    def claim_delay_s(self) -> float:
-        """How long this entry leaves a claim of the term to clearly faster ones."""
-        return 0.0 if self.faster_peer is None else CLAIM_DELAY_S
+    def claim_delay_s(self, former_planner: str) -> float:
+        """Return how long this entry leaves a free term to clearly faster ones.
+
+        The entry that had the term does not count, as it has left it.
+        """
+        speeds = [
+            speed for name, speed in self._peers.items() if name != former_planner
+        ]
+        fastest = max(speeds, default=0.0)
+        return CLAIM_DELAY_S if _is_clearly_slower(self.own, fastest) else 0.0
 
     @property
     def faster_peer(self) -> tuple[str, float] | None:
--- a/tests/coordination/planner/test_fitness.py
+++ b/tests/coordination/planner/test_fitness.py
@@ -50,11 +50,17 @@
 
 
 def test_claim_is_delayed_only_when_another_entry_is_clearly_faster():
-    assert make_speeds(100.0).claim_delay_s == 0
-    assert make_speeds(100.0, b="100").claim_delay_s == 0
-    assert make_speeds(MAX_RELATIVE_SPEED * 100, b="100").claim_delay_s == 0
-    assert make_speeds(0.0, b="100").claim_delay_s == 0
-    assert make_speeds(69.0, b="100", c="1").claim_delay_s > 0
+    assert make_speeds(100.0).claim_delay_s("") == 0
+    assert make_speeds(100.0, b="100").claim_delay_s("") == 0
+    assert make_speeds(MAX_RELATIVE_SPEED * 100, b="100").claim_delay_s("") == 0
+    assert make_speeds(0.0, b="100").claim_delay_s("") == 0
+    assert make_speeds(69.0, b="100", c="1").claim_delay_s("") > 0
+
+
+def test_claim_is_not_left_to_the_entry_that_had_the_term():
+    speeds = make_speeds(10.0, b="100", c="11")
+    assert speeds.claim_delay_s("b") == 0
+    assert speeds.claim_delay_s("c") > 0
 
 
 def test_record_of_an_earlier_process_or_a_removed_entry_does_not_count():
