--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -5,6 +5,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from functools import partial
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from ...clock import boottime_s
@@ -211,30 +212,39 @@
         state: StepState,
     ) -> list[RunningUnit]:
         indices = state.open_indices
+        if not indices:
+            return []
         groups = [indices] if step.gang else [(index,) for index in indices]
         if step.may_miss:
             groups = groups[: self._preemptible_count(key, step, state)]
+        job = job_state.job
+        expected_s = self.run_times.expected_s(job, step, state)
         units = []
         for group in groups:
-            runs = [(key.task_name(index), state.tasks[index].run) for index in group]
-            if not runs or any(run in self.stopping for run in runs):
+            tasks = [state.tasks[index] for index in group]
+            runs = [
+                (key.task_name(index), task.run)
+                for index, task in zip(group, tasks, strict=True)
+            ]
+            if self.stopping.has_any(runs):
                 continue
-            longest_s = max(elapsed_s(state.tasks[index]) for index in group)
-            lost_s = _lost_work_s(step, longest_s)
+            oldest = min(tasks, key=attrgetter("started_ms"))
+            lost_s = _lost_work_s(step, elapsed_s(oldest))
+            remaining_s = [
+                self.run_times.run_remaining_s(step, task, name, expected_s)
+                for task, (name, _run) in zip(tasks, runs, strict=True)
+            ]
             units.append(
                 RunningUnit(
                     key,
                     group,
-                    tuple(state.tasks[index].upstream for index in group),
+                    tuple([task.upstream for task in tasks]),
                     step.need,
-                    job_state.job.priority,
-                    job_state.job.workspace,
+                    job.priority,
+                    job.workspace,
                     lost_s * core_equivalents(step.need) * len(group),
-                    job_state.job.id in self._guaranteed_jobs,
-                    max(
-                        self.run_times.remaining_s(job_state, key, index)
-                        for index in group
-                    ),
+                    job.id in self._guaranteed_jobs,
+                    max(remaining_s),
                 )
             )
         return units
--- a/src/hyssoprill/coordination/planner/run_times.py
+++ b/src/hyssoprill/coordination/planner/run_times.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from ...protocol.job import Job, Step
-    from ...state.job_table import JobState, JobTable, StepKey, StepState
+    from ...state.job_table import JobState, JobTable, StepKey, StepState, TaskState
     from .fleet import Fleet
 
 
@@ -55,15 +55,20 @@
     def remaining_s(self, job_state: JobState, key: StepKey, index: int) -> float:
         """Return the expected remaining run time; infinite for long-running tasks."""
         step = job_state.job.steps[key.step]
+        state = job_state.step_state(key.occurrence, key.step)
+        expected_s = self.expected_s(job_state.job, step, state)
+        name = key.task_name(index)
+        return self.run_remaining_s(step, state.tasks[index], name, expected_s)
+
+    def run_remaining_s(
+        self, step: Step, task: TaskState, name: str, expected_s: float
+    ) -> float:
+        """Return the same for a task of a step, given what its tasks are to take."""
         if step.long_running:
             return float("inf")
-        state = job_state.step_state(key.occurrence, key.step)
-        task = state.tasks[index]
-        percent = self.fleet.progress_percent(
-            task.upstream, key.task_name(index), task.run
-        )
+        percent = self.fleet.progress_percent(task.upstream, name, task.run)
         return estimate_remaining_s(
-            self.expected_s(job_state.job, step, state),
+            expected_s,
             elapsed_s(task),
             percent,
             is_resumed=bool(task.checkpoint),
--- a/src/hyssoprill/coordination/planner/runs.py
+++ b/src/hyssoprill/coordination/planner/runs.py
@@ -33,6 +33,10 @@
     def __contains__(self, key: RunKey) -> bool:
         return key in self._reasons
 
+    def has_any(self, keys: list[RunKey]) -> bool:
+        """Return whether a stop of one of some runs is requested."""
+        return not self._reasons.keys().isdisjoint(keys)
+
     def add(self, key: RunKey, upstream: str, reason: str) -> None:
         """Request that a run stops; the reason of an earlier request is kept."""
         if key not in self._reasons:
--- a/src/hyssoprill/coordination/policy/dispatch/run_time_model.py
+++ b/src/hyssoprill/coordination/policy/dispatch/run_time_model.py
@@ -61,6 +61,7 @@
 
     def __init__(self) -> None:
         self._queues: dict[str, _QueueHistory] = {}
+        self._expected_s: dict[tuple[str, float], float] = {}
 
     def record(
         self, queue: str, estimate_s: float, ran_s: float, *, weight: float = 1.0
@@ -74,6 +75,7 @@
         """
         if estimate_s <= 0 or ran_s <= 0:
             return
+        self._expected_s.clear()
         history = self._queues.setdefault(queue, _QueueHistory())
         history.add(math.log(estimate_s), math.log(ran_s), weight)
 
@@ -82,15 +84,21 @@
         history = self._queues.get(queue)
         if history is None or estimate_s <= 0:
             return estimate_s
-        return math.exp(history.predict(math.log(estimate_s)))
+        known_s = self._expected_s.get((queue, estimate_s))
+        if known_s is None:
+            known_s = math.exp(history.predict(math.log(estimate_s)))
+            self._expected_s[queue, estimate_s] = known_s
+        return known_s
 
     def retain(self, queues: set[str]) -> None:
         """Drop all queues but the given ones."""
+        self._expected_s.clear()
         for queue in self._queues.keys() - queues:
             del self._queues[queue]
 
     def clear(self) -> None:
         """Drop everything, at the start of a term."""
+        self._expected_s.clear()
         self._queues.clear()
 
 
--- a/src/hyssoprill/protocol/job.py
+++ b/src/hyssoprill/protocol/job.py
@@ -45,10 +45,12 @@
         """
         for available, needed in zip(self, need, strict=True):
             if needed > 0:
-                limit = min(limit, available // needed)
+                fits = available // needed
+                if fits < limit:
+                    limit = fits
             elif available < 0:
                 return 0
-        return max(limit, 0)
+        return limit if limit > 0 else 0
 
     def covers(self, need: ResourceAmounts) -> bool:
         """Tell whether `need` fits into this vector."""
