--- a/src/hyssoprill/coordination/policy/dispatch/preemption.py
+++ b/src/hyssoprill/coordination/policy/dispatch/preemption.py
@@ -11,6 +11,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from ....protocol.job import ZERO_AMOUNTS, ResourceAmounts
 from .placement import count_fits_on, free_after_stops, place_gang, place_tasks, reserve
 
 if TYPE_CHECKING:
@@ -113,8 +114,12 @@
             if sum(counts.values()) >= len(step.indices):
                 return list(chosen.values())
             for key in changed:
-                units = by_upstream.get(key, [])
-                options[key] = _cheapest_victims(step, views[key], units, chosen)
+                units = by_upstream.get(key)
+                options[key] = (
+                    _cheapest_victims(step, views[key], units, chosen)
+                    if units
+                    else None
+                )
             available = (one for one in options.values() if one is not None)
             cheapest = min(available, key=_total_cost, default=None)
             if cheapest is None:
@@ -164,7 +169,7 @@
 
 
 def _cost_of(units: list[RunningUnit]) -> float:
-    return sum(unit.cost + STOP_COST for unit in units)
+    return sum([unit.cost + STOP_COST for unit in units])
 
 
 def _victims_for_one_task(
@@ -174,36 +179,42 @@
     chosen: dict[int, RunningUnit],
 ) -> list[RunningUnit] | None:
     """Return units to stop so that one more task fits on an upstream, or None."""
-    need = step.step.need
     wanted = len(step.indices)
-    capacity = free_after_stops(upstream)
-    fits_now = capacity.fit_count(need, wanted)
+    free = free_after_stops(upstream)
+    fits_now = free.fit_count(step.step.need, wanted)
+    if fits_now >= wanted:
+        return None
+    missing = ZERO_AMOUNTS.plus(step.step.need, fits_now + 1).minus(free)
+    # Without calls: this goes through all units of all upstreams.
+    accelerators, millicores, memory_mb = missing
     picked: list[RunningUnit] = []
     for unit in units:
         if id(unit) in chosen:
             continue
         picked.append(unit)
-        capacity = capacity.plus(unit.need, unit.upstreams.count(upstream.key))
-        if capacity.fit_count(need, wanted) > fits_now:
-            return _drop_unneeded(step, upstream, picked, fits_now)
+        times = unit.upstreams.count(upstream.key)
+        accelerators -= unit.need[0] * times
+        millicores -= unit.need[1] * times
+        memory_mb -= unit.need[2] * times
+        if accelerators <= 0 and millicores <= 0 and memory_mb <= 0:
+            spare = ResourceAmounts(-accelerators, -millicores, -memory_mb)
+            return _drop_unneeded(upstream, picked, spare)
     return None
 
 
 def _drop_unneeded(
-    step: WaitingStep,
-    upstream: UpstreamView,
-    picked: list[RunningUnit],
-    fits_now: int,
+    upstream: UpstreamView, picked: list[RunningUnit], spare: ResourceAmounts
 ) -> list[RunningUnit]:
-    """Return the picked units without those not needed, the costliest dropped first."""
+    """Return the picked units without those not needed, the costliest dropped first.
+
+    `spare` is what they release beyond what is needed.
+    """
     kept = list(picked)
     for unit in sorted(picked, key=lambda one: -one.cost):
-        rest = [one for one in kept if one is not unit]
-        capacity = free_after_stops(upstream)
-        for one in rest:
-            capacity = capacity.plus(one.need, one.upstreams.count(upstream.key))
-        if capacity.fit_count(step.step.need, len(step.indices)) > fits_now:
-            kept = rest
+        rest = spare.minus(unit.need, unit.upstreams.count(upstream.key))
+        if rest.covers(ZERO_AMOUNTS):
+            kept = [one for one in kept if one is not unit]
+            spare = rest
     return kept
 
 
