--- a/src/hyssoprill/coordination/policy/dispatch/placement.py
+++ b/src/hyssoprill/coordination/policy/dispatch/placement.py
@@ -83,7 +83,7 @@
     several racks only if `spread` allows it or no rack could hold it even when empty.
     """
     wanted = len(step.indices)
-    counts = _count_fits(step, candidates, free_capacity)
+    counts = count_fits(step, candidates, free_capacity)
     if sum(counts.values()) < wanted:
         return None
     if step.step.rack_sensitive:
@@ -99,7 +99,7 @@
     step: WaitingStep, candidates: list[UpstreamView], free_capacity: FreeCapacity
 ) -> list[UpstreamView]:
     """Return upstreams for as many waiting tasks as fit, in the order of `indices`."""
-    counts = _count_fits(step, candidates, free_capacity)
+    counts = count_fits(step, candidates, free_capacity)
     wanted = min(len(step.indices), sum(counts.values()))
     return _assign(step, candidates, counts, wanted, free_capacity)
 
@@ -147,15 +147,7 @@
     return max(fits, 0)
 
 
-def count_fits_on(
-    step: WaitingStep, upstream: UpstreamView, free_capacity: FreeCapacity
-) -> int:
-    """Return how many of a step's waiting tasks fit on an upstream."""
-    count = free_capacity(upstream).fit_count(step.step.need, len(step.indices))
-    return _cap_per_upstream(step, upstream, count)
-
-
-def _count_fits(
+def count_fits(
     step: WaitingStep, candidates: list[UpstreamView], free_capacity: FreeCapacity
 ) -> dict[str, int]:
     """Return how many waiting tasks fit on each upstream that fits at least one."""
@@ -230,7 +222,7 @@
 
 
 __all__ = [
-    "count_fits_on",
+    "count_fits",
     "eligible_upstreams",
     "fits_empty_rack",
     "free_after_stops",
--- a/src/hyssoprill/coordination/policy/dispatch/preemption.py
+++ b/src/hyssoprill/coordination/policy/dispatch/preemption.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from ....protocol.job import ZERO_AMOUNTS, ResourceAmounts
-from .placement import count_fits_on, free_after_stops, place_gang, place_tasks, reserve
+from .placement import count_fits, free_after_stops, place_gang, place_tasks, reserve
 
 if TYPE_CHECKING:
     from .model import RunningUnit, UpstreamView, WaitingStep
@@ -107,10 +107,9 @@
     changed = list(views)
     try:
         while True:
-            counts.update(
-                (key, count_fits_on(step, views[key], free_after_stops))
-                for key in changed
-            )
+            affected = [views[key] for key in changed]
+            counts.update(dict.fromkeys(changed, 0))
+            counts.update(count_fits(step, affected, free_after_stops))
             if sum(counts.values()) >= len(step.indices):
                 return list(chosen.values())
             for key in changed:
@@ -126,8 +125,8 @@
                 return None
             chosen.update((id(unit), unit) for unit in cheapest[1])
             _mark_releasing(cheapest[1], views)
-            affected = {key for unit in cheapest[1] for key in unit.upstreams}
-            changed = [key for key in views if key in affected]
+            cleared = {key for unit in cheapest[1] for key in unit.upstreams}
+            changed = [key for key in views if key in cleared]
     finally:
         for one, releasing in before:
             one.releasing = releasing
