--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -123,6 +123,7 @@
         self._first_report_s = float("inf")
         self._last_new_vm_s = float("inf")
         self._reported_vms: set[str] = set()
+        self._reports: list[UpstreamReport] | None = None
 
     def is_settled(self, expected_vms: Callable[[], set[str]]) -> bool:
         """Return whether the VMs have had time to report in this term.
@@ -141,6 +142,7 @@
     def reset(self) -> None:
         """Drop all reports, at the start of a term."""
         self.vms.clear()
+        self._reports = None
         self._lease_expires_s.clear()
         self.term_began_s = boottime_s()
         self._first_report_s = float("inf")
@@ -165,6 +167,7 @@
                 self._extend_lease(one.key, in_doubt_s + LEASE_EXPIRY_MARGIN_S)
         vm.ended_upstreams = frozenset(report.ended_keys)
         vm.set_reports(report.upstreams, report.last_reports)
+        self._reports = None
         return vm
 
     def record_grant(self, name: str) -> float:
@@ -200,7 +203,10 @@
 
     def reports(self) -> list[UpstreamReport]:
         """Return the newest report of each upstream."""
-        return [one for vm in self.vms.values() for one in vm.upstreams.values()]
+        if self._reports is None:
+            vms = self.vms.values()
+            self._reports = [one for vm in vms for one in vm.upstreams.values()]
+        return self._reports
 
     def last_reports(self) -> Iterator[UpstreamReport]:
         """Yield the last reports of upstream incarnations that have ended."""
--- a/src/hyssoprill/coordination/planner/upstream_runs.py
+++ b/src/hyssoprill/coordination/planner/upstream_runs.py
@@ -56,8 +56,11 @@
         version = self._job_table.open_runs_versions.get(key, 0)
         stops = self._stopping.versions.get(key, 0)
         known = self._known.get(key)
-        if known and known[0] is report and known[1:3] == (version, stops):
-            return known[3]
+        if known is not None:
+            known_report, known_version, known_stops, runs = known
+            is_same_report = known_report is report
+            if is_same_report and (known_version, known_stops) == (version, stops):
+                return runs
         found = self._sum_up(report)
         self._known[key] = (report, version, stops, found)
         return found
