--- a/src/hyssoprill/coordination/policy/dispatch/preemption.py
+++ b/src/hyssoprill/coordination/policy/dispatch/preemption.py
@@ -15,6 +15,8 @@
 from .placement import count_fits, free_after_stops, place_gang, place_tasks, reserve
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from .model import RunningUnit, UpstreamView, WaitingStep
 
 STOP_COST = 1.0
@@ -45,8 +47,8 @@
     best_domain: list[UpstreamView] = []
     by_upstream = _units_by_upstream(units)
     for domain in _placement_domains(step, candidates):
-        victims = _choose_victims(step, domain, by_upstream)
-        if victims is not None and _cost_of(victims) <= best_cost:
+        victims = _choose_victims(step, domain, by_upstream, best_cost)
+        if victims is not None:
             best, best_cost, best_domain = victims, _cost_of(victims), domain
             if not victims:
                 break
@@ -93,11 +95,13 @@
     step: WaitingStep,
     domain: list[UpstreamView],
     by_upstream: dict[str, list[RunningUnit]],
+    max_cost: float = float("inf"),
 ) -> list[RunningUnit] | None:
     """Return the units of a domain to stop; the views are left unchanged.
 
-    Greedy: repeatedly stops the cheapest units that make room for one more task. A stop
-    affects only the unit's upstreams, so only their options are computed again.
+    None if they do not suffice or would cost more than `max_cost`. Greedy: repeatedly
+    stops the cheapest units that make room for one more task. A stop affects only the
+    unit's upstreams, so only their options are computed again.
     """
     views = {one.key: one for one in domain}
     before = [(one, one.releasing) for one in domain]
@@ -124,6 +128,8 @@
             if cheapest is None:
                 return None
             chosen.update((id(unit), unit) for unit in cheapest[1])
+            if _cost_of(chosen.values()) > max_cost:
+                return None
             _mark_releasing(cheapest[1], views)
             cleared = {key for unit in cheapest[1] for key in unit.upstreams}
             changed = [key for key in views if key in cleared]
@@ -167,7 +173,7 @@
     return unit.within_guarantee, unit.cost, -unit.priority
 
 
-def _cost_of(units: list[RunningUnit]) -> float:
+def _cost_of(units: Iterable[RunningUnit]) -> float:
     return sum([unit.cost + STOP_COST for unit in units])
 
 
