--- a/src/hyssoprill/coordination/policy/dispatch/preemption.py
+++ b/src/hyssoprill/coordination/policy/dispatch/preemption.py
@@ -11,9 +11,12 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from .placement import count_fits_on, free_after_stops, place_gang, place_tasks, reserve
+from ....protocol.job import ZERO_AMOUNTS, ResourceAmounts
+from .placement import count_fits, free_after_stops, place_gang, place_tasks, reserve
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from .model import RunningUnit, UpstreamView, WaitingStep
 
 STOP_COST = 1.0
@@ -44,8 +47,8 @@
     best_domain: list[UpstreamView] = []
     by_upstream = _units_by_upstream(units)
     for domain in _placement_domains(step, candidates):
-        victims = _choose_victims(step, domain, by_upstream)
-        if victims is not None and _cost_of(victims) <= best_cost:
+        victims = _choose_victims(step, domain, by_upstream, best_cost)
+        if victims is not None:
             best, best_cost, best_domain = victims, _cost_of(victims), domain
             if not victims:
                 break
@@ -92,11 +95,13 @@
     step: WaitingStep,
     domain: list[UpstreamView],
     by_upstream: dict[str, list[RunningUnit]],
+    max_cost: float = float("inf"),
 ) -> list[RunningUnit] | None:
     """Return the units of a domain to stop; the views are left unchanged.
 
-    Greedy: repeatedly stops the cheapest units that make room for one more task. A stop
-    affects only the unit's upstreams, so only their options are computed again.
+    None if they do not suffice or would cost more than `max_cost`. Greedy: repeatedly
+    stops the cheapest units that make room for one more task. A stop affects only the
+    unit's upstreams, so only their options are computed again.
     """
     views = {one.key: one for one in domain}
     before = [(one, one.releasing) for one in domain]
@@ -106,23 +111,28 @@
     changed = list(views)
     try:
         while True:
-            counts.update(
-                (key, count_fits_on(step, views[key], free_after_stops))
-                for key in changed
-            )
+            affected = [views[key] for key in changed]
+            counts.update(dict.fromkeys(changed, 0))
+            counts.update(count_fits(step, affected, free_after_stops))
             if sum(counts.values()) >= len(step.indices):
                 return list(chosen.values())
             for key in changed:
-                units = by_upstream.get(key, [])
-                options[key] = _cheapest_victims(step, views[key], units, chosen)
+                units = by_upstream.get(key)
+                options[key] = (
+                    _cheapest_victims(step, views[key], units, chosen)
+                    if units
+                    else None
+                )
             available = (one for one in options.values() if one is not None)
             cheapest = min(available, key=_total_cost, default=None)
             if cheapest is None:
                 return None
             chosen.update((id(unit), unit) for unit in cheapest[1])
+            if _cost_of(chosen.values()) > max_cost:
+                return None
             _mark_releasing(cheapest[1], views)
-            affected = {key for unit in cheapest[1] for key in unit.upstreams}
-            changed = [key for key in views if key in affected]
+            cleared = {key for unit in cheapest[1] for key in unit.upstreams}
+            changed = [key for key in views if key in cleared]
     finally:
         for one, releasing in before:
             one.releasing = releasing
@@ -163,8 +173,8 @@
     return unit.within_guarantee, unit.cost, -unit.priority
 
 
-def _cost_of(units: list[RunningUnit]) -> float:
-    return sum(unit.cost + STOP_COST for unit in units)
+def _cost_of(units: Iterable[RunningUnit]) -> float:
+    return sum([unit.cost + STOP_COST for unit in units])
 
 
 def _victims_for_one_task(
@@ -174,36 +184,42 @@
     chosen: dict[int, RunningUnit],
 ) -> list[RunningUnit] | None:
     """Return units to stop so that one more task fits on an upstream, or None."""
-    need = step.step.need
     wanted = len(step.indices)
-    capacity = free_after_stops(upstream)
-    fits_now = capacity.fit_count(need, wanted)
+    free = free_after_stops(upstream)
+    fits_now = free.fit_count(step.step.need, wanted)
+    if fits_now >= wanted:
+        return None
+    missing = ZERO_AMOUNTS.plus(step.step.need, fits_now + 1).minus(free)
+    # Without calls: this goes through all units of all upstreams.
+    accelerators, millicores, memory_mb = missing
     picked: list[RunningUnit] = []
     for unit in units:
         if id(unit) in chosen:
             continue
         picked.append(unit)
-        capacity = capacity.plus(unit.need, unit.upstreams.count(upstream.key))
-        if capacity.fit_count(need, wanted) > fits_now:
-            return _drop_unneeded(step, upstream, picked, fits_now)
+        times = unit.upstreams.count(upstream.key)
+        accelerators -= unit.need[0] * times
+        millicores -= unit.need[1] * times
+        memory_mb -= unit.need[2] * times
+        if accelerators <= 0 and millicores <= 0 and memory_mb <= 0:
+            spare = ResourceAmounts(-accelerators, -millicores, -memory_mb)
+            return _drop_unneeded(upstream, picked, spare)
     return None
 
 
 def _drop_unneeded(
-    step: WaitingStep,
-    upstream: UpstreamView,
-    picked: list[RunningUnit],
-    fits_now: int,
+    upstream: UpstreamView, picked: list[RunningUnit], spare: ResourceAmounts
 ) -> list[RunningUnit]:
-    """Return the picked units without those not needed, the costliest dropped first."""
+    """Return the picked units without those not needed, the costliest dropped first.
+
+    `spare` is what they release beyond what is needed.
+    """
     kept = list(picked)
     for unit in sorted(picked, key=lambda one: -one.cost):
-        rest = [one for one in kept if one is not unit]
-        capacity = free_after_stops(upstream)
-        for one in rest:
-            capacity = capacity.plus(one.need, one.upstreams.count(upstream.key))
-        if capacity.fit_count(step.step.need, len(step.indices)) > fits_now:
-            kept = rest
+        rest = spare.minus(unit.need, unit.upstreams.count(upstream.key))
+        if rest.covers(ZERO_AMOUNTS):
+            kept = [one for one in kept if one is not unit]
+            spare = rest
     return kept
 
 
