Starts to confirm are looked for ten times per validity, not each round

A look costs 1.2 ms of processor time at 160 upstreams with 10 listed runs each (median of 30, aarch64), where an unchanged `publish` costs 2.4 ms; a busy planner's rounds follow each other within 10 ms of rest. At a validity of 1.0 s it is now paid each 0.1 s.

--- a/src/hyssoprill/coordination/planner/renewals.py
+++ b/src/hyssoprill/coordination/planner/renewals.py
@@ -15,6 +15,8 @@
 RENEWAL_SHARE = 0.5
 """A start is confirmed after this share of its validity, and the starts of a VM at most
 once in that time."""
+CHECK_SHARE = 0.1
+"""Pause between looks for such starts, as a share of their validity."""
 
 
 class StartRenewals:
@@ -33,11 +35,13 @@
         self._stopping = stopping
         self._decided_ms: dict[RunKey, int] = {}
         self._renewed_s: dict[str, float] = {}
+        self._checked_s = float("-inf")
 
     def clear(self) -> None:
         """Drop all renewals, at the start of a term."""
         self._decided_ms.clear()
         self._renewed_s.clear()
+        self._checked_s = float("-inf")
 
     def decided_ms(self, key: RunKey, planned_ms: int) -> int:
         """Return when the newest decision on a run was made.
@@ -58,6 +62,9 @@
         now_ms : int
             Time before that config was read, in milliseconds since 1970.
         """
+        if boottime_s() - self._checked_s < validity_s * CHECK_SHARE:
+            return
+        self._checked_s = boottime_s()
         self._drop_closed()
         interval_s = validity_s * RENEWAL_SHARE
         for name, vm in self._fleet.vms.items():
