--- a/src/hyssoprill/coordination/planner/renewals.py
+++ b/src/hyssoprill/coordination/planner/renewals.py
@@ -17,7 +17,7 @@
 """A start is confirmed after this share of its validity, and the starts of a VM at most
 once in that time."""
 CHECK_SHARE = 0.1
-"""All starts are looked through at this share of their validity."""
+"""Pause between looks for such starts, as a share of their validity."""
 
 
 class StartRenewals:
@@ -47,6 +47,7 @@
         """Drop all renewals, at the start of a term."""
         self._decided_ms.clear()
         self._renewed_s.clear()
+        self._checked_s = float("-inf")
 
     def decided_ms(self, key: RunKey, planned_ms: int) -> int:
         """Return when the newest decision on a run was made.
