--- a/src/hyssoprill/coordination/planner/closed_runs.py
+++ b/src/hyssoprill/coordination/planner/closed_runs.py
@@ -18,6 +18,7 @@
     from ...protocol.upstream_messages import RunReport
     from ...state.job_table import JobTable, StepKey
     from .fleet import Fleet
+    from .upstream_runs import UpstreamRuns
 
 
 @dataclass(slots=True)
@@ -49,18 +50,14 @@
             self.used[upstream] = self.used.get(upstream, ZERO_AMOUNTS).plus(need)
 
 
-def find_closed_runs(fleet: Fleet, job_table: JobTable) -> ClosedRuns:
+def find_closed_runs(
+    runs: Iterable[UpstreamRuns], fleet: Fleet, job_table: JobTable
+) -> ClosedRuns:
     """Return the closed runs that upstreams list, unless their leases have expired."""
     closed = ClosedRuns()
-    for report in fleet.reports():
-        open_runs = job_table.open_runs.get(report.key, {})
-        rows = []
-        for row in report.running:
-            run = open_runs.get(row.task)
-            if run is None or run.run != row.run:
-                rows.append(row)
-        if rows and not fleet.end_reason(report.key):
-            closed.add(report.key, rows, job_table)
+    for one in runs:
+        if one.closed and not fleet.end_reason(one.key):
+            closed.add(one.key, one.closed, job_table)
     return closed
 
 
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -34,7 +34,7 @@
     from .run_times import RunTimes
     from .runs import StopRequests
     from .speeds import SpeedEstimates
-    from .upstream_runs import UpstreamRunsCache
+    from .upstream_runs import UpstreamRuns, UpstreamRunsCache
 
 EXCLUDE_AFTER_FAILURES = 2
 """A job is not placed again on an upstream where this many of its runs have failed."""
@@ -62,6 +62,7 @@
     waiting_since_s: dict[StepKey, float]
     upstream_runs: UpstreamRunsCache
     _guaranteed_jobs: set[str] = field(init=False)
+    _runs: dict[str, UpstreamRuns] = field(init=False)
     _closed_runs: ClosedRuns = field(init=False)
     _fit_counts: dict[tuple[str, ResourceAmounts], int] = field(
         init=False, default_factory=dict
@@ -69,7 +70,10 @@
 
     def __post_init__(self) -> None:
         self._guaranteed_jobs = self._find_guaranteed_jobs()
-        self._closed_runs = find_closed_runs(self.fleet, self.job_table)
+        reports = [(one.key, one) for one in self.fleet.reports()]
+        runs = set_aside("upstream", reports, self.upstream_runs.find)
+        self._runs = {one.key: one for one in runs}
+        self._closed_runs = find_closed_runs(runs, self.fleet, self.job_table)
 
     def upstream_views(self) -> list[UpstreamView]:
         """Return the upstreams that accept starts.
@@ -89,7 +93,7 @@
         return [one for one in views if one.penalty < EXCLUDE_AT_FAILURES] or views
 
     def _upstream_view(self, report: UpstreamReport, *, now_s: float) -> UpstreamView:
-        runs = self.upstream_runs.find(report)
+        runs = self._runs[report.key]
         free, releasing = runs.free, runs.releasing
         if report.key in self._closed_runs.used:
             closed = self._closed_runs.used[report.key]
--- a/src/hyssoprill/coordination/planner/upstream_runs.py
+++ b/src/hyssoprill/coordination/planner/upstream_runs.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from ...protocol.job import ResourceAmounts
-    from ...protocol.upstream_messages import UpstreamReport
+    from ...protocol.upstream_messages import RunReport, UpstreamReport
     from ...state.job_table import JobTable, OpenRun
     from .runs import StopRequests
 
@@ -20,6 +20,8 @@
 
     Attributes
     ----------
+    key : str
+        Key of the upstream.
     free, releasing : ResourceAmounts
         Not in use by any of them, and in use by those that are being stopped.
     is_costly : bool
@@ -28,16 +30,20 @@
         Whether there are serving and filling tasks.
     unlisted : list of OpenRun
         Runs that the upstream has not listed.
+    closed : list of RunReport
+        Runs that it lists although the planner has closed them.
     starting_jobs, suspects : frozenset of str
         The jobs of these, and those whose tasks may crash the upstream.
     """
 
+    key: str
     free: ResourceAmounts
     releasing: ResourceAmounts = ZERO_AMOUNTS
     is_costly: bool = False
     is_serving: bool = False
     is_filling: bool = False
     unlisted: list[OpenRun] = field(default_factory=list)
+    closed: list[RunReport] = field(default_factory=list)
     starting_jobs: frozenset[str] = frozenset()
     suspects: frozenset[str] = frozenset()
 
@@ -71,10 +77,15 @@
             del self._known[key]
 
     def _sum_up(self, report: UpstreamReport) -> UpstreamRuns:
-        found = UpstreamRuns(report.capacity)
+        found = UpstreamRuns(report.key, report.capacity)
         listed = {(row.task, row.run) for row in report.running}
+        open_runs = self._job_table.open_runs.get(report.key, {})
+        for row in report.running:
+            run = open_runs.get(row.task)
+            if run is None or run.run != row.run:
+                found.closed.append(row)
         suspects = set()
-        for task, run in self._job_table.open_runs.get(report.key, {}).items():
+        for task, run in open_runs.items():
             job_state = self._job_table.jobs[run.step.job_id]
             step = job_state.job.steps[run.step.step]
             found.free = found.free.minus(step.need)
