--- a/tests/coordination/planner/test_refusals.py
+++ b/tests/coordination/planner/test_refusals.py
@@ -79,3 +79,25 @@
         assert boottime_s() - began_s > MAX_DELAY_S
 
     run_scenario(scenario)
+
+
+def test_refusals_of_a_gang_are_kept_while_only_other_members_are_listed(
+    run_scenario, make_agent
+):
+    async def scenario(harness):
+        agent = await order_run(harness, make_agent, replace(STEP, count=2, gang=True))
+        other = f"{NAME}.0.0.1"
+        began_s = boottime_s()
+        for run in range(1, 6):
+            agent.refused, agent.running = [], [RunReport(other, run, "", 10)]
+            agent.report()
+            await asyncio.sleep(0.05)
+            agent.refused, agent.running = [(TASK, run, "room")], []
+            agent.closed = [(other, run)]
+            agent.report()
+            while agent.entry.ordered_runs().get(TASK) != (agent.key, run + 1):
+                agent.heartbeat()
+                await asyncio.sleep(0.02)
+        assert boottime_s() - began_s > 3 * MAX_DELAY_S
+
+    run_scenario(scenario)
