--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -77,13 +77,17 @@
         return highest_numbers
 
     def _forget_refusals(self) -> None:
-        """Forget the refusals of steps of which a later run is listed as running."""
+        """Forget the refusals of steps of which a later run is listed as running.
+
+        A gang has started only once all of its members are.
+        """
         for step, refused_run in self.failures.refused_steps.items():
             job_state = self.job_table.jobs.get(step.job_id)
             if job_state is None:
                 continue
             tasks = job_state.step_state(step.occurrence, step.step).tasks
-            if any(
+            has_started = all if job_state.job.steps[step.step].gang else any
+            if has_started(
                 task.phase == OPEN
                 and task.run > refused_run
                 and self.fleet.lists_running(
