--- a/tests/coordination/planner/test_renewals.py
+++ b/tests/coordination/planner/test_renewals.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import replace
 
 import pytest
 
+from hyssoprill.clock import boottime_s, unix_ms
+from hyssoprill.coordination.planner import orders
 from hyssoprill.coordination.planner.election import PlannerElection
 from hyssoprill.job_settings import JobBounds
 from hyssoprill.protocol.job import ResourceAmounts, Step
@@ -137,3 +140,29 @@
         assert 0.3 <= newest.echo_age_s < 0.5
 
     run_scenario(scenario)
+
+
+def test_order_is_no_younger_for_a_freeze_of_the_planner_as_it_is_sent(
+    run_scenario, make_agent, monkeypatch
+):
+    sent_s = []
+
+    def freeze_after_reading() -> int:
+        now_ms = unix_ms()
+        sent_s.append(boottime_s())
+        time.sleep(0.3)
+        return now_ms
+
+    async def scenario(harness):
+        (agent,) = await order_runs(harness, make_agent, Step(need=ONE), "vm-1")
+        received_s = boottime_s()
+        agent.heartbeat()
+        monkeypatch.setattr(orders, "unix_ms", freeze_after_reading)
+        await harness.cancel(NAME)
+        await harness.wait_until(
+            lambda: agent.entry.orders(agent.vm)[agent.key].stopping
+        )
+        newest = [one for _, one in agent.entry.sent if isinstance(one, VmOrders)][-1]
+        assert newest.echo_age_s <= sent_s[-1] - received_s
+
+    run_scenario(scenario)
