--- a/tests/coordination/upstream/test_order_validity.py
+++ b/tests/coordination/upstream/test_order_validity.py
@@ -18,7 +18,12 @@
 from hyssoprill.ports.upstream import CheckIn, RunListing, StartAnswer
 from hyssoprill.protocol.job import ResourceAmounts
 from hyssoprill.protocol.upstream_key import UpstreamKey
-from hyssoprill.protocol.upstream_messages import RunOrder, RunReport, UpstreamOrders
+from hyssoprill.protocol.upstream_messages import (
+    ORDER_EXPIRED,
+    RunOrder,
+    RunReport,
+    UpstreamOrders,
+)
 
 TASK = "00000000000000a1.0.0.0"
 RUN = (TASK, 1)
@@ -264,3 +269,15 @@
         assert harness.refused_runs() == [RUN]
 
     run_scenario(scenario)
+
+
+def test_start_that_was_called_for_in_time_is_not_refused_as_a_late_order():
+    async def scenario(harness, upstream):
+        harness.order()
+        upstream.fault = UpstreamUnreachedError("no connection")
+        await harness.hold_orders(VALIDITY_S + 0.4, RunOrder(*RUN, "x", ""))
+        assert len(upstream.start_times_s) > 1
+        reasons = [why for *_run, why in harness.session.report().refused]
+        assert reasons and ORDER_EXPIRED not in reasons
+
+    run_scenario(scenario)
