--- a/src/hyssoprill/coordination/planner/orders.py
+++ b/src/hyssoprill/coordination/planner/orders.py
@@ -120,6 +120,8 @@
             return False
         self._last_number += 1
         self._sent[name] = ((term, self._last_number), orders)
+        # Read first: a freeze in between must not make the orders younger.
+        echo_age_s = boottime_s() - vm.granted_contact_s
         message = VmOrders(
             term,
             self._last_number,
@@ -127,7 +129,7 @@
             orders,
             unix_ms(),
             self.validity_s,
-            boottime_s() - vm.granted_contact_s,
+            echo_age_s,
         )
         self._send(name, message)
         return True
