--- a/tests/coordination/planner/test_election.py
+++ b/tests/coordination/planner/test_election.py
@@ -7,6 +7,7 @@
 
 from hyssoprill.coordination.planner import election
 from hyssoprill.coordination.planner.election import PlannerElection
+from hyssoprill.coordination.planner.fitness import CLAIM_DELAY_S
 from hyssoprill.errors import StoreInDoubtError, StoreRefusedError
 from hyssoprill.ports.store import Record, Writer
 from hyssoprill.state.job_table import SIZES_KEY, VACATED_KEY
@@ -309,3 +310,32 @@
         assert not second.replica.job_table.is_term_vacant
 
     run_scenario(scenario)
+
+
+class SlowReads(MemoryStore):
+    """View of a store whose answers to reads take a while."""
+
+    def __init__(self, store: MemoryStore, read_s: float) -> None:
+        super().__init__()
+        self.topics, self._news, self._read_s = store.topics, store._news, read_s
+
+    async def read(self, topic, offset, *, wait_s):
+        page = await super().read(topic, offset, wait_s=wait_s)
+        await asyncio.sleep(self._read_s)
+        return page
+
+
+@pytest.mark.parametrize("claim_delay_s", [0.0, CLAIM_DELAY_S])
+def test_term_is_claimed_by_a_slower_entry_while_the_store_is_slow(
+    run_scenario, claim_delay_s
+):
+    async def scenario(harness):
+        first = harness.entry("entry-1")
+        await harness.wait_until(lambda: first.election.term == 1)
+        second = harness.entry("entry-2", store=SlowReads(harness.store, 0.3))
+        second.election._claim_delay_s = lambda _former: claim_delay_s
+        await asyncio.sleep(1.0)
+        await first.stop()
+        await harness.wait_until(lambda: second.election.term == 2, timeout_s=6.0)
+
+    run_scenario(scenario)
