--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -237,12 +237,15 @@
         succeeded at once: others may claim only later.
         """
         replica = self._replica
-        is_current = replica.end is not None and replica.age_s <= CLAIM_AFTER_S
+        is_read = replica.end is not None and not replica.failing_since_s
         is_paused = self.resigning or boottime_s() < self._may_claim_from_s
-        if is_paused or not is_current or not self._is_term_free():
+        if is_paused or not is_read or not self._is_term_free():
             self._free_since_s = float("inf")
             return False
         self._free_since_s = min(self._free_since_s, boottime_s())
+        # Faster entries have their time also between the reads of a slow store.
+        if replica.age_s > CLAIM_AFTER_S:
+            return False
         if self._is_of_earlier_process():
             return True
         current = replica.job_table.term
