Keep room that is made for a step for that step

Cause: once the runs stopped for a step have ended, the steps are ranked anew. A step that has become late meanwhile comes after others of its priority, which take the room; runs are stopped for it again.

--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -25,6 +25,7 @@
 from .fleet import Fleet
 from .load import PlannerLoad
 from .orders import OrderPublisher
+from .pending_room import PendingRoom
 from .policy_inputs import PolicyInputs, rack_of
 from .retention import expired_records
 from .run_times import RunTimes
@@ -98,6 +99,7 @@
         self._fleet = Fleet()
         self.answer_delays = AnswerDelays(self._fleet)
         self._stopping = StopRequests()
+        self._pending_room = PendingRoom()
         self._failures = FailureTracker()
         self._speeds = SpeedEstimates()
         self._run_times = RunTimes(self._job_table, self._fleet)
@@ -175,6 +177,7 @@
         self._fleet.reset()
         self.answer_delays.clear()
         self._stopping.clear()
+        self._pending_room.clear()
         self._orders.clear()
         self._run_times.rebuild()
         self._load.begin_window()
@@ -302,6 +305,7 @@
             return
         waited_s = {step.key: step.waited_s for step in waiting}
         plan = self._run_policy(inputs, waiting)
+        self._pending_room.record(plan.preempting)
         for unit, reason in plan.stops:
             tasks = changes.tasks(unit.step)
             for index, upstream in zip(unit.indices, unit.upstreams, strict=True):
@@ -320,6 +324,7 @@
             self._run_times,
             self._waiting_since_s,
             self._upstream_runs,
+            self._pending_room,
         )
 
     def _run_policy(self, inputs: PolicyInputs, waiting: list[WaitingStep]) -> Plan:
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -19,6 +19,7 @@
 )
 from .closed_runs import ClosedRuns, find_closed_runs
 from .failures import EXCLUDE_AT_FAILURES
+from .pending_room import PendingRoom
 from .runs import elapsed_s
 from .set_aside import set_aside
 
@@ -61,6 +62,7 @@
     run_times: RunTimes
     waiting_since_s: dict[StepKey, float]
     upstream_runs: UpstreamRunsCache
+    pending_room: PendingRoom = field(default_factory=PendingRoom)
     _guaranteed_jobs: set[str] = field(init=False)
     _runs: dict[str, UpstreamRuns] = field(init=False)
     _closed_runs: ClosedRuns = field(init=False)
@@ -179,6 +181,7 @@
             ),
             is_last_attempt=_is_last_attempt(job_state, state, indices),
             is_suspect=_is_suspect(state, indices),
+            awaits_room=self.pending_room.is_awaited_by(key),
         )
 
     def _waiting_indices(self, key: StepKey, step: Step, state: StepState) -> list[int]:
--- a/src/hyssoprill/coordination/policy/dispatch/dispatch.py
+++ b/src/hyssoprill/coordination/policy/dispatch/dispatch.py
@@ -91,6 +91,8 @@
             stopped = _choose_preemptions(step, candidates, stoppable, reclaim_s)
         if stopped is not None:
             plan.stops += [(unit, f"room for {step.key.job_id}") for unit in stopped]
+            if stopped:
+                plan.preempting.append(step.key)
             stopped_ids = {id(unit) for unit in stopped}
             stoppable = [unit for unit in stoppable if id(unit) not in stopped_ids]
         elif reservations < MAX_RESERVATIONS:
--- a/src/hyssoprill/coordination/policy/dispatch/model.py
+++ b/src/hyssoprill/coordination/policy/dispatch/model.py
@@ -116,6 +116,8 @@
         Whether one more failure fails the job.
     is_suspect : bool
         Whether upstreams have crashed as they started its tasks.
+    awaits_room : bool
+        Whether runs were stopped for it a short time ago.
     """
 
     key: StepKey
@@ -131,6 +133,7 @@
     excluded_upstreams: frozenset[str] = frozenset()
     is_last_attempt: bool = False
     is_suspect: bool = False
+    awaits_room: bool = False
 
     @property
     def is_urgent(self) -> bool:
@@ -164,10 +167,13 @@
     ----------
     stops : list of tuple
         Units to stop, each with the reason for the log.
+    preempting : list of StepKey
+        Steps for which they are stopped.
     """
 
     starts: list[Placement] = field(default_factory=list)
     stops: list[tuple[RunningUnit, str]] = field(default_factory=list)
+    preempting: list[StepKey] = field(default_factory=list)
 
 
 __all__ = [
