--- a/src/hyssoprill/coordination/upstream/order_ages.py
+++ b/src/hyssoprill/coordination/upstream/order_ages.py
@@ -67,6 +67,10 @@
         """Take no newer decision on an ordered run from now on."""
         self._held.add(key)
 
+    def is_held(self, key: RunKey) -> bool:
+        """Return whether newer decisions on an ordered run are not taken any more."""
+        return key in self._held
+
     def age_s(self, key: RunKey) -> float:
         """Return how many seconds ago an ordered run was decided, at the most."""
         return boottime_s() - self._decisions[key][1]
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -19,6 +19,7 @@
 from ...protocol.upstream_messages import (
     GRANT_ENDED,
     ORDER_EXPIRED,
+    START_NOT_TAKEN,
     UpstreamOrders,
     UpstreamReport,
 )
@@ -368,7 +369,9 @@
                     "run_started", task=key[0], run=key[1], term=self.term, why="listed"
                 )
                 return
-        await self._refuse_when_settled(key, ORDER_EXPIRED, evidence)
+        is_late = not self._order_ages.is_held(key)
+        reason = ORDER_EXPIRED if is_late else START_NOT_TAKEN
+        await self._refuse_when_settled(key, reason, evidence)
 
     async def _wait_for_listing(
         self, after_s: float, *, without: RunKey | None = None
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -21,6 +21,8 @@
 
 ORDER_EXPIRED = "order expired"
 """Reason of a refused run whose upstream was not called in time."""
+START_NOT_TAKEN = "start not taken in time"
+"""Reason of a refused run whose upstream was called in time and did not start it."""
 GRANT_ENDED = "the grant ended"
 """Reason of a refused run that its agent withdrew without contact with a planner."""
 
@@ -269,6 +271,7 @@
     "FULL_PROGRESS_PERCENT",
     "GRANT_ENDED",
     "ORDER_EXPIRED",
+    "START_NOT_TAKEN",
     "EndReport",
     "Grant",
     "Referral",
