Answer a repeated request with the outcome that was just given

Cause: the entry looked only into the log's outcomes before it ran the request again, as a claim of its own that does not run. It now also looks at what it has answered itself, but for outcomes that say that nothing has run.

--- a/src/hyssoprill/coordination/entry/caller_service.py
+++ b/src/hyssoprill/coordination/entry/caller_service.py
@@ -176,8 +176,15 @@
         return outcome
 
     def _known_outcome(self, spec: JobSpec) -> Outcome | None:
+        """Return the outcome of a request that has run, by the log or by this entry.
+
+        An outcome that this entry has just answered with may not be in the log yet.
+        """
         stored = self._entry.jobs.outcomes.get(spec.id)
-        return stored.outcome if stored is not None else None
+        if stored is not None:
+            return stored.outcome
+        ended = self._entry.requests.outcome(spec.workspace, spec.id)
+        return ended if ended is not None and ended.status != "not_run" else None
 
     async def _claim(self, spec: JobSpec) -> Outcome | None:
         """Append a claim and wait until it was read back from the log.
