--- a/src/hyssoprill/transport/link.py
+++ b/src/hyssoprill/transport/link.py
@@ -22,7 +22,7 @@
 from .mailbox import Mailbox
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterator
+    from collections.abc import Awaitable, Callable
 
     from ..protocol.messages import AnyMessage, Envelope
     from .metrics import Metrics
@@ -31,17 +31,7 @@
 
 SILENCE_TIMEOUT_S = 1.5
 REDIAL_DELAY_S = 0.2
-MIN_SEND_INTERVAL_S = 0.001
-"""Frames to one peer that follow sooner are sent asynchronously."""
-RECEIVE_PAUSE_S = 0.005
-"""Pause after frames are received, so that those that follow are received together.
-
-Each wake-up of the process costs more than a frame that waits."""
 MAX_QUEUED_MESSAGES = 1024
-MAX_RECEIVED_AT_ONCE = 512
-"""Most messages that are received before any of them is handled.
-
-Handled one by one, the newest of a peer waits for all that it supersedes."""
 
 
 class LinkHub:
@@ -66,7 +56,6 @@
         self._inbound: dict[str, pynng.Pipe] = {}
         self._dialled: dict[str, _DialledLink] = {}
         self._mailboxes: dict[str, Mailbox[Envelope]] = {}
-        self._sent_s: dict[str, float] = {}
         self._tasks = TaskSet()
 
     async def __aenter__(self) -> Self:
@@ -85,7 +74,7 @@
             polyamorous=True,
             recv_max_size=MAX_FRAME_BYTES,
             send_buffer_size=128,
-            recv_buffer_size=MAX_RECEIVED_AT_ONCE,
+            recv_buffer_size=128,
         )
         listener = self._listener.listen(f"tcp://{address}:{port}")
         bound = listener.local_address
@@ -128,7 +117,7 @@
         self._metrics.count("frames_sent", len(frame))
         link = self._dialled.get(name)
         if link is not None and link.socket is not None:
-            return await self._transmit(name, link.socket, frame)
+            return await _send_with_timeout(link.socket, frame)
         return await self._send_inbound(name, frame)
 
     async def send_back(self, name: str, message: AnyMessage) -> bool:
@@ -141,23 +130,7 @@
 
     async def _send_inbound(self, name: str, frame: bytes) -> bool:
         pipe = self._inbound.get(name)
-        return pipe is not None and await self._transmit(name, pipe, frame)
-
-    async def _transmit(
-        self, name: str, target: pynng.Pair1 | pynng.Pipe, frame: bytes
-    ) -> bool:
-        """Send a frame at once, unless it follows another one to the same peer.
-
-        An asynchronous send costs more than twice the processor time. But a socket
-        drops what exceeds two frames that it has not passed on yet.
-        """
-        now_s = time.monotonic()
-        is_burst = now_s - self._sent_s.get(name, float("-inf")) < MIN_SEND_INTERVAL_S
-        self._sent_s[name] = now_s
-        if not is_burst:
-            with suppress(pynng.TryAgain):
-                return _send_at_once(target, frame)
-        return await _send_with_timeout(target, frame)
+        return pipe is not None and await _send_with_timeout(pipe, frame)
 
     async def _receive_inbound(self, socket: pynng.Pair1) -> None:
         while True:
@@ -165,16 +138,10 @@
                 message = await socket.arecv_msg()
             except pynng.Closed:
                 return
-            self._accept(message)
-            for waiting in _waiting_messages(socket):
-                self._accept(waiting)
-            await asyncio.sleep(RECEIVE_PAUSE_S)
-
-    def _accept(self, message: pynng.Message) -> None:
-        envelope = self._decode_frame(message.bytes)
-        if envelope is not None:
-            self._inbound[envelope.sender] = message.pipe
-            self._enqueue(envelope)
+            envelope = self._decode_frame(message.bytes)
+            if envelope is not None:
+                self._inbound[envelope.sender] = message.pipe
+                self._enqueue(envelope)
 
     async def _maintain_link(self, link: _DialledLink) -> None:
         while not link.closed:
@@ -272,27 +239,6 @@
     return True
 
 
-def _send_at_once(target: pynng.Pair1 | pynng.Pipe, frame: bytes) -> bool:
-    """Send without waiting; raise `pynng.TryAgain` if the socket has no room."""
-    try:
-        if isinstance(target, pynng.Pipe):
-            target.socket.send_msg(pynng.Message(frame, target), block=False)
-        else:
-            target.send(frame, block=False)
-    except pynng.TryAgain:
-        raise
-    except pynng.NNGException:
-        return False
-    return True
-
-
-def _waiting_messages(socket: pynng.Pair1) -> Iterator[pynng.Message]:
-    """Yield messages that a socket has already received, a bounded number."""
-    with suppress(pynng.TryAgain, pynng.Closed):
-        for _ in range(MAX_RECEIVED_AT_ONCE):
-            yield socket.recv_msg(block=False)
-
-
 def _bound_port(address: object) -> int:
     """Return the port of a bound socket address."""
     return int(str(address).rpartition(":")[2])
