--- a/review/harness-3/lab.py
+++ b/review/harness-3/lab.py
@@ -30,7 +30,7 @@
 KEY = "key-of-warehouse"
 HOST = "jobs.example"
 PREFIX = "/quotes/"
-FRONT, READY, CONTROL, APP, STORE = 8521, 8523, 8526, 8080, 8524
+FRONT, READY, CONTROL, APP, STORE, LINK = 8521, 8523, 8526, 8080, 8524, 7000
 ZONES = ("zone-1", "zone-2", "zone-3")
 CLIENT_DELAY_S = 0.006
 """Time of a client between an answer and the arrival of its next call: 3 ms each way,
@@ -76,6 +76,67 @@
     return f"{job_id(number)}.0.0.0"
 
 
+class Forwarder:
+    """Forwards connections to an address, and drops all bytes while it is cut."""
+
+    def __init__(self, address: str, target: str) -> None:
+        self._target = target
+        self._is_cut = False
+        self._open: set[socket.socket] = set()
+        host, _, port = address.rpartition(":")
+        self._listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def set_cut(self, *, is_cut: bool) -> None:
+        """Cut, or heal the cut; connections that lost bytes stay silent for good."""
+        self._is_cut = is_cut
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._is_cut = True
+        self._listener.close()
+        for sock in list(self._open):
+            sock.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _peer = self._listener.accept()
+            except OSError:
+                return
+            self._open.add(near)
+            threading.Thread(target=self._connect, args=(near,), daemon=True).start()
+
+    def _connect(self, near: socket.socket) -> None:
+        while self._is_cut:
+            time.sleep(0.02)
+        host, _, port = self._target.rpartition(":")
+        try:
+            far = socket.create_connection((host, int(port)), timeout=3.0)
+            far.settimeout(None)
+        except OSError:
+            near.close()
+            return
+        self._open.add(far)
+        for source, sink in ((near, far), (far, near)):
+            args = (source, sink)
+            threading.Thread(target=self._pump, args=args, daemon=True).start()
+
+    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+        is_silent = False
+        try:
+            while chunk := source.recv(65536):
+                is_silent |= self._is_cut
+                if not is_silent:
+                    sink.sendall(chunk)
+        except OSError:
+            pass
+        for sock in (source, sink):
+            if not is_silent:
+                sock.close()
+            self._open.discard(sock)
+
+
 class Lab:
     """A deployment of entries and side machines, with a store.
 
@@ -97,6 +158,8 @@
         self._gangs.mkdir()
         self._net = _free_net()
         self.store = f"{self._net}.1:{STORE}"
+        self.store_of_cuttable = f"{self._net}.3:{STORE}"
+        self._forwarders: list[Forwarder] = []
         self.entries = {f"edge-{n}": f"{self._net}.{10 + n}" for n in range(entries)}
         self.sides = {f"side-{n}": f"{self._net}.{50 + n}" for n in range(sides)}
 
@@ -104,6 +167,8 @@
         return self
 
     def __exit__(self, *_exc_info: object) -> None:
+        for forwarder in self._forwarders:
+            forwarder.close()
         for process in self._processes:
             process.kill()
         for process in self._processes:
@@ -112,18 +177,32 @@
 
     # Processes
 
-    def start(self, config: dict[str, Any] | None = None) -> None:
-        """Start everything and wait until all of it serves."""
-        self._spawn("store", [sys.executable, str(HERE / "store.py"), self.store])
+    def start(
+        self, config: dict[str, Any] | None = None, *, cuttable: str = ""
+    ) -> None:
+        """Start everything and wait until all of it serves.
+
+        Parameters
+        ----------
+        cuttable : str
+            Name of a side machine that `cut` can cut off from entries and store.
+        """
+        store = [sys.executable, str(HERE / "store.py"), self.store]
+        if cuttable:
+            store += self._start_forwarders()
+        self._spawn("store", store)
         self.wait_for("the store", lambda: self.switch(self.store) is not None)
         self.put("config", config or make_config())
         roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
-        for number, (name, ip) in enumerate(self.entries.items()):
-            zone = ZONES[number % len(ZONES)]
-            self._start_role(roles["job-entry"], name, ip, "edge", zone)
+        entries = list(self.entries)
+        # The links of a machine that can be cut off lead through forwarders only if it
+        # has found the planner by itself, and not by what another entry told it.
+        first = entries[:1] if cuttable else entries
+        self._start_entries(roles["job-entry"], first)
         for number, (name, ip) in enumerate(self.sides.items()):
             zone = ZONES[number % len(ZONES)]
-            self._start_role(roles["job-agent"], name, ip, "side", zone)
+            seen = self.store_of_cuttable if name == cuttable else self.store
+            self._start_role(roles["job-agent"], name, ip, "side", zone, seen)
             cfg = {
                 "name": name.replace("side", "worker"),
                 "app": f"{ip}:{APP}",
@@ -135,12 +214,36 @@
             }
             command = [sys.executable, str(HERE / "worker.py"), json.dumps(cfg)]
             self._spawn(cfg["name"], command)
-        for name, ip in self.entries.items():
-            self.wait_for(f"{name}", lambda ip=ip: self._is_ready(ip))
         for name, ip in self.sides.items():
             address = f"{ip}:{APP}"
             self.wait_for(name, lambda address=address: self.switch(address))
         self._serve_first_job()
+        self._start_entries(roles["job-entry"], [n for n in entries if n not in first])
+
+    def _start_entries(self, role: dict[str, Any], names: list[str]) -> None:
+        for name in names:
+            zone = ZONES[list(self.entries).index(name) % len(ZONES)]
+            ip = self.entries[name]
+            self._start_role(role, name, ip, "edge", zone, self.store)
+        for name in names:
+            ip = self.entries[name]
+            self.wait_for(name, lambda ip=ip: self._is_ready(ip))
+
+    def _start_forwarders(self) -> list[str]:
+        """Start forwarders to entries and store; return arguments of the store."""
+        replaced = []
+        for ip in self.entries.values():
+            seen = f"{self._net}.{int(ip.rpartition('.')[2]) + 10}"
+            self._forwarders.append(Forwarder(f"{seen}:{LINK}", f"{ip}:{LINK}"))
+            replaced.append(f"{ip}={seen}")
+        behind = f"{self._net}.2:{STORE}"
+        self._forwarders.append(Forwarder(self.store_of_cuttable, behind))
+        return [behind, *replaced]
+
+    def cut(self, *, is_cut: bool) -> None:
+        """Cut the machine off, or heal the cut."""
+        for forwarder in self._forwarders:
+            forwarder.set_cut(is_cut=is_cut)
 
     def _serve_first_job(self) -> None:
         """Wait until a job has run on all machines, so that each takes work."""
@@ -163,14 +266,20 @@
         return {line["who"] for line in self.lines("start")}
 
     def _start_role(
-        self, role: dict[str, Any], name: str, ip: str, klass: str, zone: str
+        self,
+        role: dict[str, Any],
+        name: str,
+        ip: str,
+        klass: str,
+        zone: str,
+        store: str,
     ) -> None:
         fields = {
             "node": name,
             "machine_class": klass,
             "ip": ip,
             "zone": zone,
-            "port_range": [7000, 7015],
+            "port_range": [LINK, LINK + 15],
             "zones": dict.fromkeys(ZONES, "region-1"),
             "listen": {
                 "front": f"{ip}:{FRONT}",
@@ -178,7 +287,7 @@
                 "control": f"{ip}:{CONTROL}",
             },
             "bounds": BOUNDS,
-            "platform": {"address": self.store, "record_bytes": 262144},
+            "platform": {"address": store, "record_bytes": 262144},
         }
         path = self._folder / f"{name}.json"
         path.write_text(_fill((ROOT / role["template"]).read_text(), fields))
@@ -336,6 +445,7 @@
     watchdog = threading.Timer(MAX_RUN_S, os.kill, (os.getpid(), signal.SIGINT))
     watchdog.daemon = True
     watchdog.start()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         code = HELD if case() else BROKEN
     except (CannotRunError, KeyboardInterrupt) as exc:
--- a/review/harness-3/store.py
+++ b/review/harness-3/store.py
@@ -8,6 +8,10 @@
 `late`
     Appends of these seconds to come are not answered, and done later: a list of the
     share, the shortest and the longest delay in seconds, and for how long.
+
+With a second address, the store also serves one machine there, whose links to the
+entries then lead through forwarders: in the records that it reads, host parts of the
+addresses of entries are replaced as the further arguments say (OLD=NEW).
 """
 
 from __future__ import annotations
@@ -94,9 +98,16 @@
 class Handler(RequestHandler):
     """Base of the handlers; holds answers back while the store is slow."""
 
-    def initialize(self, store: Store) -> None:
-        """Keep the store."""
+    def initialize(self, store: Store, hosts: dict[bytes, bytes]) -> None:
+        """Keep the store, and the hosts to replace in what is read."""
         self.store = store
+        self.hosts = hosts
+
+    def seen(self, value: bytes) -> bytes:
+        """Return a value as the calling machine sees it."""
+        for old, new in self.hosts.items():
+            value = value.replace(b"//" + old + b":", b"//" + new + b":")
+        return value
 
     async def answer(self, status: int, body: bytes | dict[str, Any]) -> None:
         """Send an answer."""
@@ -166,7 +177,7 @@
                 break
         body = struct.pack(">QQ", len(topic.records), 0)
         for key, value in topic.records[offset:]:
-            body += pack(key, value)
+            body += pack(key, self.seen(value))
             if len(body) > left_kb * 1024:
                 break
         self.set_header("Content-Type", "application/octet-stream")
@@ -184,7 +195,7 @@
         items = [
             {
                 "key": key.decode(),
-                "value": base64.b64encode(topic.newest[key][1]).decode(),
+                "value": base64.b64encode(self.seen(topic.newest[key][1])).decode(),
                 "offset": topic.newest[key][0],
             }
             for key in keys[:MAX_PAGE]
@@ -226,18 +237,21 @@
 
 async def main() -> None:
     """Serve the store until ended."""
-    host, _, port = sys.argv[1].rpartition(":")
-    args = {"store": Store()}
-    app = Application(
-        [
-            ("/log-append", Append, args),
-            ("/log-read", Read, args),
-            ("/log-newest", Newest, args),
-            ("/switches", Switches, args),
-        ],
-        log_function=lambda _handler: None,
-    )
-    app.listen(int(port), host)
+    store = Store()
+    replaced = [one.encode().split(b"=") for one in sys.argv[3:]]
+    for address, hosts in zip(sys.argv[1:3], ({}, dict(replaced)), strict=False):
+        host, _, port = address.rpartition(":")
+        args = {"store": store, "hosts": hosts}
+        app = Application(
+            [
+                ("/log-append", Append, args),
+                ("/log-read", Read, args),
+                ("/log-newest", Newest, args),
+                ("/switches", Switches, args),
+            ],
+            log_function=lambda _handler: None,
+        )
+        app.listen(int(port), host)
     await asyncio.Event().wait()
 
 
--- a/review/harness-3/worker.py
+++ b/review/harness-3/worker.py
@@ -8,7 +8,8 @@
 folder of the case. `lasts` is set for a task that works until it is stopped.
 
 `POST /switches` sets `shed_s`: for so long the worker is unhealthy and answers starts
-with 503, without doing anything.
+with 503, without doing anything; and `late_hold_s`: the next renewal that extends the
+lease gets no answer and is carried out so much later, its time counted from then.
 
 It writes a line for each start, end and crash to the record of the case.
 """
@@ -104,6 +105,9 @@
         self.ended: list[list[Any]] = []
         self.count = 0
         self.shed_until = 0.0
+        self.late_hold_s = 0.0
+        self.acked = 0
+        self.holds_lease = False
         self.news = asyncio.Event()
 
     @property
@@ -128,6 +132,28 @@
         self.lease_ms = max(self.lease_ms, asked)
         return True
 
+    def acknowledge(self, upto: int) -> None:
+        """Forget the ends up to a number."""
+        for number, task, run, how, _saved in self.ended:
+            if number <= upto:
+                self.record("acked", task=task, run=run, how=how)
+        self.ended = [row for row in self.ended if row[0] > upto]
+
+    async def hold_late(self, body: dict[str, Any], delay_s: float) -> None:
+        """Carry a renewal out late; its time counts from its arrival."""
+        length_ms = body["deadline_ms"] - self.clock_ms
+        await asyncio.sleep(delay_s)
+        self.record("late renewal", sent_s_ago=delay_s, length_ms=length_ms)
+        if self.takes({**body, "deadline_ms": self.clock_ms + length_ms}):
+            self.acknowledge(body.get("acked_upto", 0))
+
+    def watch_lease(self) -> None:
+        """Record when the lease lapses and when there is one again."""
+        holds_lease = self.clock_ms <= self.lease_ms
+        if holds_lease != self.holds_lease:
+            self.holds_lease = holds_lease
+            self.record("lease" if holds_lease else "lapse")
+
     def start(self, body: dict[str, Any]) -> str:
         """Start a run; return the reason of a refusal, or ''."""
         task, run = body["task"], body["run"]
@@ -164,6 +190,7 @@
         """Let runs end, lapse and crash the worker."""
         while True:
             await asyncio.sleep(TICK_S)
+            self.watch_lease()
             for key, run in list(self.running.items()):
                 if run.crash_after_s and run.done_s >= run.crash_after_s:
                     self.record("crash", task=key[0], run=key[1])
@@ -294,11 +321,15 @@
 
     async def post(self) -> None:
         """Answer the call."""
-        body, worker = self.taken(), self.worker
+        worker = self.worker
+        if worker.late_hold_s and "deadline_ms" in json.loads(self.request.body):
+            delay_s, worker.late_hold_s = worker.late_hold_s, 0.0
+            await worker.hold_late(json.loads(self.request.body), delay_s)
+            return
+        body = self.taken()
         if body is None:
             return
-        acked = body.get("acked_upto", 0)
-        worker.ended = [row for row in worker.ended if row[0] > acked]
+        worker.acknowledge(body.get("acked_upto", 0))
         wait_s = min(body.get("wait_ms", 0), 2000) / 1000
         if not worker.ended and wait_s:
             try:
@@ -314,6 +345,7 @@
     def post(self) -> None:
         """Answer the call."""
         body = json.loads(self.request.body or b"{}")
+        self.worker.late_hold_s = body.get("late_hold_s", 0.0)
         if "shed_s" in body:
             self.worker.shed_until = time.monotonic() + body["shed_s"]
         self.finish({"running": [list(key) for key in self.worker.running]})
