Store a step in several records where one would be too large

Cause: the states of all tasks of a step share one record, whose size nothing bounds by record_bytes. The store's 400 was taken for a missing answer, and the planner repeated the append without an end, under the lock that renewals of its term need; so did each planner after it.

Change: a step that does not fit is split at fixed indices into records of consecutive tasks; a task's state is that with the highest offset, so that each order of reading gives the same step. 400 and 413 of the store are an error of their own, which is not repeated and costs no term. Other writers: the stored form of a job is bounded in place of its body (413), deletions of finished jobs are split and begin with the job's own record, known capacities are merged where they do not fit. The stand-ins of the store now refuse what is too large.

--- a/src/hyssoprill/coordination/intake/intake.py
+++ b/src/hyssoprill/coordination/intake/intake.py
@@ -9,13 +9,15 @@
 
 from ...clock import boottime_s
 from ...errors import (
+    JobTooLargeError,
     NeverFitsError,
     StoreError,
     StoreInDoubtError,
     StoreRefusedError,
+    StoreRejectedError,
 )
 from ...logs import decision
-from ...ports.store import MAX_BATCH_BYTES, Record
+from ...ports.store import DEFAULT_RECORD_BYTES, Record, first_batch
 from ...state.job_table import CANCEL_PREFIX, JOB_PREFIX
 
 if TYPE_CHECKING:
@@ -47,10 +49,20 @@
         This entry's copy of the stored jobs.
     relay : AppendRelay
         Appends through another entry while this one cannot reach the store.
+    record_bytes : int
+        Largest size of a record that the store accepts.
     """
 
-    def __init__(self, store: StorePort, replica: Replica, relay: AppendRelay) -> None:
+    def __init__(
+        self,
+        store: StorePort,
+        replica: Replica,
+        relay: AppendRelay,
+        *,
+        record_bytes: int = DEFAULT_RECORD_BYTES,
+    ) -> None:
         self._store = store
+        self._record_bytes = record_bytes
         self._relay = relay
         self._replica = replica
         self._queued: list[tuple[Record, asyncio.Future[None]]] = []
@@ -67,12 +79,7 @@
 
     def _take_batch(self) -> list[tuple[Record, asyncio.Future[None]]]:
         """Remove and return the oldest queued records that fit into one append."""
-        size, count = 0, 0
-        for record, _fut in self._queued:
-            size += len(record.value)
-            if count and size > MAX_BATCH_BYTES:
-                break
-            count += 1
+        count = first_batch(record for record, _fut in self._queued)
         batch = self._queued[:count]
         del self._queued[:count]
         return batch
@@ -82,6 +89,8 @@
 
         Raises
         ------
+        JobTooLargeError
+            Where the job does not fit into a record of the store.
         NeverFitsError
             Where no upstream seen so far is large enough for one of its tasks.
         StoreRefusedError
@@ -92,11 +101,18 @@
         if job.id in self._replica.job_table.jobs:
             decision("job_repeated", job=job.id, queue=job.queue)
             return
+        record = Record(JOB_PREFIX + job.id, msgspec.json.encode(job))
+        if record.size > self._record_bytes:
+            raise JobTooLargeError(
+                f"the job takes {record.size} bytes in the store, which accepts "
+                f"{self._record_bytes}",
+                remedy="submit fewer steps per job",
+            )
         if not self._is_in_doubt(job.id):
             self._check_capacities(job)
         began_s = boottime_s()
         try:
-            await self._enqueue(Record(JOB_PREFIX + job.id, msgspec.json.encode(job)))
+            await self._enqueue(record)
         except StoreInDoubtError:
             self._in_doubt_since_s[job.id] = began_s
             raise
@@ -205,6 +221,14 @@
         try:
             offset = await self._append_or_relay(records)
             self._replica.apply_appended(offset, records)
+        except StoreRejectedError as exc:
+            if len(batch) == 1:
+                _fail_batch(batch, exc)
+                return
+            # Records that the store takes must not fail for one that it does not.
+            for one in batch:
+                await self._append([one])
+            return
         except StoreError as exc:
             _fail_batch(batch, exc)
             return
@@ -226,6 +250,8 @@
                 return await self._store.append("jobs", records)
             except StoreInDoubtError as exc:
                 doubt = exc
+            except StoreRejectedError:
+                raise
             except StoreRefusedError as exc:
                 decision("append_refused", records=len(records), why=str(exc))
         try:
--- a/src/hyssoprill/coordination/intake/service.py
+++ b/src/hyssoprill/coordination/intake/service.py
@@ -10,7 +10,7 @@
 from ...errors import StoreError
 from ...job_settings import SchedulingSettings
 from ...logs import decision
-from ...ports.store import Record
+from ...ports.store import DEFAULT_RECORD_BYTES, Record
 from ...protocol.message import Message
 from ...protocol.placement_query import PlacementAnswer, PlacementQuery
 from ...protocol.superseding import supersedes
@@ -72,6 +72,8 @@
         Builds the config from the operator's records.
     bounds : JobBounds
         Time bounds that the operator promises to callers.
+    record_bytes : int
+        Largest size of a record that the store accepts.
     scheduling : SchedulingSettings or None
         Decisions under hard load; None for none of them.
 
@@ -92,6 +94,7 @@
         metrics: Metrics,
         *,
         bounds: JobBounds,
+        record_bytes: int = DEFAULT_RECORD_BYTES,
         scheduling: SchedulingSettings | None = None,
     ) -> None:
         self.name = name
@@ -104,6 +107,7 @@
         self._codec = FrameCodec(cluster_key, name, self._incarnation)
         self._store = store
         self._bounds = bounds
+        self._record_bytes = record_bytes
         self.replica = Replica(store, self._wake_planner)
         self.config_watcher = OperatorConfigWatcher(
             store, build_config, self._wake_planner
@@ -132,7 +136,9 @@
         self._relay = AppendRelay(
             self.name, self._hub, self._entry_watcher, self._store, self.replica
         )
-        self.intake = JobIntake(self._store, self.replica, self._relay)
+        self.intake = JobIntake(
+            self._store, self.replica, self._relay, record_bytes=self._record_bytes
+        )
         self.link_url = self._hub.listen(self._address, self._link_port)
         self.election = PlannerElection(
             self.name,
@@ -149,6 +155,7 @@
             lambda: self.config_watcher.current,
             self._send,
             bounds=self._bounds,
+            record_bytes=self._record_bytes,
             terms=self._find_terms,
         )
         self.placement_service = PlacementService(
--- a/src/hyssoprill/coordination/planner/changes.py
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -4,17 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 from msgspec.structs import replace
 
 from ...clock import unix_ms
-from ...ports.store import MAX_BATCH_BYTES, Record
-from ...state.job_table import DONE, FAILED, OPEN, WAITING, StepState, TaskState
+from ...state.job_table import DONE, FAILED, OPEN, WAITING, TaskState
+from ...state.step_records import encode_step
 from .crashes import crashes_upstreams, record_crash
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from ...ports.store import Record
     from ...protocol.job import Step
     from ...state.job_table import JobTable, StepKey
     from .crashes import UpstreamCrash
@@ -22,8 +22,6 @@
 SURVIVING_OUTCOMES = frozenset({"failed", "stopped"})
 """Outcomes that show that a run had started without a crash of its upstream."""
 
-_encoder = msgspec.json.Encoder()
-
 
 class StepChanges:
     """New states of steps on top of a job table.
@@ -38,18 +36,14 @@
         self._job_table = job_table
         self._tasks: dict[StepKey, list[TaskState]] = {}
 
-    def batches(self) -> list[list[Record]]:
-        """Return the records to append, split into batches that the store accepts."""
-        batches: list[list[Record]] = []
-        size = 0
+    def records(self, max_record_bytes: int) -> list[Record]:
+        """Return the records to append, none larger than a size in bytes."""
+        records: list[Record] = []
         for key, tasks in self._tasks.items():
-            record = Record(key.record_key, _encoder.encode(StepState(tuple(tasks))))
-            size += len(record.value)
-            if not batches or size > MAX_BATCH_BYTES:
-                batches.append([])
-                size = len(record.value)
-            batches[-1].append(record)
-        return batches
+            stored = self._stored_tasks(key)
+            changed = [i for i, task in enumerate(tasks) if task is not stored[i]]
+            records += encode_step(key, tasks, changed, max_record_bytes)
+        return records
 
     @property
     def steps(self) -> list[StepKey]:
@@ -65,6 +59,9 @@
         changed = self._tasks.get(key)
         if changed is not None:
             return tuple(changed)
+        return self._stored_tasks(key)
+
+    def _stored_tasks(self, key: StepKey) -> tuple[TaskState, ...]:
         job_state = self._job_table.jobs[key.job_id]
         return job_state.step_state(key.occurrence, key.step).tasks
 
--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -13,6 +13,7 @@
     StoreFencedError,
     StoreInDoubtError,
     StoreMovedError,
+    StoreRejectedError,
 )
 from ...logs import decision
 from ...ports.store import Record, Writer
@@ -45,6 +46,8 @@
 """An entry whose planner failed leaves the claim to others for this long."""
 CHECK_INTERVAL_S = 0.1
 APPEND_RETRY_S = 0.1
+MAX_LOGGED_KEYS = 8
+"""Number of records that a log line names."""
 
 
 class PlannerElection:
@@ -130,6 +133,8 @@
         ------
         StoreFencedError
             If this entry is not, or is no longer, the planner.
+        StoreRejectedError
+            If the store can never take these records.
         """
         async with self._append_lock:
             await self._append(records)
@@ -182,6 +187,17 @@
             except StoreFencedError:
                 self._step_down("fenced")
                 raise
+            except StoreRejectedError as exc:
+                # A repeat would keep the lock that renewals of the term need.
+                self._sequence -= 1
+                decision(
+                    "append_rejected",
+                    term=term,
+                    keys=[record.key for record in records[:MAX_LOGGED_KEYS]],
+                    largest_bytes=max((one.size for one in records), default=0),
+                    why=str(exc),
+                )
+                raise
             except StoreError as exc:
                 decision("append_retried", term=term, why=str(exc))
                 if isinstance(exc, StoreInDoubtError):
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from ...clock import boottime_s, unix_ms
-from ...errors import StoreError, UnservedError
+from ...errors import StoreError, StoreRejectedError, UnservedError
 from ...logs import decision
-from ...ports.store import Record
+from ...ports.store import DEFAULT_RECORD_BYTES, Record, split_batches
 from ...protocol.upstream_key import parse_upstream_key
 from ...protocol.upstream_messages import Grant, Referral
 from ...state.job_table import SIZES_KEY
@@ -38,7 +38,7 @@
 from .upstream_runs import UpstreamRunsCache
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from ...job_settings import JobBounds
     from ...protocol.placement_query import JobDraft, JobPlacement
@@ -75,6 +75,8 @@
         Sends a message to the agent of a VM.
     bounds : JobBounds
         Times that are promised to callers.
+    record_bytes : int
+        Largest size of a record that the store accepts.
     policy : callable
         Decides on starts and stops of a round, like `plan_round`.
     terms : callable
@@ -95,10 +97,12 @@
         send: Send,
         *,
         bounds: JobBounds,
+        record_bytes: int = DEFAULT_RECORD_BYTES,
         policy: Callable[..., Plan] = plan_round,
         terms: Callable[[OperatorConfig], DispatchTerms] = no_terms,
     ) -> None:
         self._find_terms = terms
+        self._record_bytes = record_bytes
         self._policy = PolicyRunner(policy)
         self._job_table = replica.job_table
         self._election = election
@@ -287,8 +291,18 @@
             self._orders.renewals.renew(self._orders.validity_s, zones_out, now_ms)
 
     async def _append_changes(self, changes: StepChanges) -> None:
-        for batch in changes.batches():
-            await self._election.append(batch)
+        await self._append(changes.records(self._record_bytes))
+
+    async def _append(self, records: Sequence[Record]) -> None:
+        """Append records in as few appends as the store takes."""
+        for batch in split_batches(records):
+            try:
+                await self._election.append(batch)
+            except StoreRejectedError:
+                if len(batch) == 1:
+                    raise
+                for record in batch:
+                    await self._election.append([record])
 
     async def _append_capacities(self) -> None:
         """Store the largest known capacities for all entries when one is exceeded."""
@@ -297,9 +311,11 @@
         reported = {(one.group, one.capacity): None for one in self._fleet.reports()}
         capacities = known.extended(reported)
         if capacities is not known:
-            await self._election.append(
-                [Record(SIZES_KEY, msgspec.json.encode(capacities))]
-            )
+            record = Record(SIZES_KEY, msgspec.json.encode(capacities))
+            if record.size > self._record_bytes:
+                capacities = capacities.merged()
+                record = Record(SIZES_KEY, msgspec.json.encode(capacities))
+            await self._election.append([record])
             decision("sizes_widened", largest=capacities.largest, term=self._term)
 
     async def _drop_expired_jobs(self) -> None:
@@ -311,8 +327,8 @@
         self._upstream_runs.retain(upstreams)
         self._learned.retain(upstreams, self._last_drop_s)
         records = expired_records(self._job_table, self._state_kept_s)
+        await self._append(records)
         if records:
-            await self._election.append(records)
             decision("jobs_dropped", records=len(records), term=self._term)
 
     def _plan_starts(self, changes: StepChanges) -> None:
--- a/src/hyssoprill/coordination/planner/retention.py
+++ b/src/hyssoprill/coordination/planner/retention.py
@@ -6,12 +6,13 @@
 
 from ...clock import boottime_s
 from ...ports.store import Record
-from ...state.job_table import CANCEL_PREFIX, JOB_PREFIX, StepKey
+from ...state.job_table import CANCEL_PREFIX, JOB_PREFIX
 
 if TYPE_CHECKING:
     from ...state.job_table import JobState, JobTable
 
 MAX_JOBS_PER_CALL = 50
+MAX_ORPHANS_PER_CALL = 500
 RETENTION_FACTOR = 1.5
 """Jobs are kept longer than promised, as other entries saw them end at other times."""
 
@@ -19,6 +20,8 @@
 def expired_records(job_table: JobTable, retention_s: float) -> list[Record]:
     """Return records that delete some of the jobs whose retention time is over.
 
+    Records of steps that an earlier planner has left behind so are deleted as well.
+
     Parameters
     ----------
     retention_s : float
@@ -32,19 +35,23 @@
         and job_state.finished_s
         and now_s - job_state.finished_s > retention_s * RETENTION_FACTOR
     ]
-    records: list[Record] = []
+    orphaned_keys = job_table.orphaned_step_keys[:MAX_ORPHANS_PER_CALL]
+    records = [Record(key, b"") for key in orphaned_keys]
     for job_state in expired[:MAX_JOBS_PER_CALL]:
         records += _deletions_of(job_state)
     return records
 
 
 def _deletions_of(job_state: JobState) -> list[Record]:
-    """Return an empty record for each key of a job; the job's own key comes last."""
+    """Return an empty record for each key of a job; the job's own key comes first.
+
+    Where they take several appends, a job without its steps would be started again.
+    """
     job_id = job_state.job.id
-    keys = [StepKey(job_id, *step).record_key for step in job_state.steps]
+    keys = [JOB_PREFIX + job_id]
     if job_state.cancelled:
         keys.append(CANCEL_PREFIX + job_id)
-    keys.append(JOB_PREFIX + job_id)
+    keys += sorted(job_state.record_keys)
     return [Record(key, b"") for key in keys]
 
 
--- a/src/hyssoprill/errors.py
+++ b/src/hyssoprill/errors.py
@@ -50,6 +50,13 @@
     http_status = 400
 
 
+class JobTooLargeError(InvalidRequestError):
+    """A job is too large to be stored; it was not accepted."""
+
+    code = "job_too_large"
+    http_status = 413
+
+
 class UnservedError(HyssoprillError):
     """A request asks for something that is not served here; it was not accepted."""
 
@@ -103,6 +110,12 @@
     code = "store_refused"
 
 
+class StoreRejectedError(StoreRefusedError):
+    """The store refused a call as invalid; a repeat would be refused as well."""
+
+    code = "store_rejected"
+
+
 class StoreInDoubtError(StoreError):
     """No usable answer came; the call may have been or may yet be carried out."""
 
@@ -180,6 +193,7 @@
     "FrameError",
     "HyssoprillError",
     "InvalidRequestError",
+    "JobTooLargeError",
     "LogUnavailableError",
     "SettingsError",
     "StoreError",
@@ -188,6 +202,7 @@
     "StoreInDoubtError",
     "StoreMovedError",
     "StoreRefusedError",
+    "StoreRejectedError",
     "UnservedError",
     "UpstreamBrokenOffError",
     "UpstreamError",
--- a/src/hyssoprill/job_settings.py
+++ b/src/hyssoprill/job_settings.py
@@ -6,6 +6,7 @@
 
 from msgspec import Meta, Struct
 
+from .ports.store import DEFAULT_RECORD_BYTES
 from .protocol.bounds import MAX_COUNT, HostPort, ListenAddress
 from .settings import HexKey, Token
 
@@ -29,7 +30,7 @@
     """
 
     address: HostPort
-    record_bytes: Annotated[int, Meta(ge=1024, le=MAX_COUNT)] = 262_144
+    record_bytes: Annotated[int, Meta(ge=1024, le=MAX_COUNT)] = DEFAULT_RECORD_BYTES
 
 
 class JobBounds(Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/hyssoprill/ports/store.py
+++ b/src/hyssoprill/ports/store.py
@@ -10,12 +10,16 @@
 from typing import TYPE_CHECKING, Literal, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
 Topic = Literal["jobs", "members", "operator"]
 
 MAX_BATCH_BYTES = 1_000_000
 """Largest size of the records in one append; half of what the store accepts."""
+DEFAULT_RECORD_BYTES = 262_144
+"""Largest size of a record where the settings do not name it."""
+RECORD_HEAD_BYTES = 4
+"""Space that a record takes in an append besides its size."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +29,32 @@
     key: str
     value: bytes
 
+    @property
+    def size(self) -> int:
+        """Size in bytes that counts against the limit of records."""
+        return 1 + len(self.key.encode()) + len(self.value)
+
+
+def first_batch(records: Iterable[Record]) -> int:
+    """Return how many of the first records one append takes, at least one."""
+    size, count = 0, 0
+    for record in records:
+        size += RECORD_HEAD_BYTES + record.size
+        if count and size > MAX_BATCH_BYTES:
+            break
+        count += 1
+    return count
+
+
+def split_batches(records: Sequence[Record]) -> list[list[Record]]:
+    """Return records split into appends, in order."""
+    batches, rest = [], list(records)
+    while rest:
+        count = first_batch(rest)
+        batches.append(rest[:count])
+        rest = rest[count:]
+    return batches
+
 
 @dataclass(frozen=True, slots=True)
 class StoredRecord:
@@ -72,7 +102,8 @@
     """Interface of the store.
 
     All calls raise `StoreRefusedError` if the call was certainly not executed, and
-    `StoreInDoubtError` if no usable answer arrived.
+    `StoreInDoubtError` if no usable answer arrived. An append raises
+    `StoreRejectedError`, a `StoreRefusedError`, if a repeat would be refused as well.
     """
 
     async def append(
@@ -113,11 +144,13 @@
 
 
 __all__ = [
-    "MAX_BATCH_BYTES",
+    "DEFAULT_RECORD_BYTES",
     "Page",
     "Record",
     "StorePort",
     "StoredRecord",
     "Topic",
     "Writer",
+    "first_batch",
+    "split_batches",
 ]
--- a/src/hyssoprill/protocol/job.py
+++ b/src/hyssoprill/protocol/job.py
@@ -9,7 +9,7 @@
 from .bounds import Count, Quantity, SignedCount, Text
 
 MAX_TASKS_PER_STEP = 1000
-"""Limit per step, as the states of a step's tasks share one store record."""
+"""Limit per step, as all of a step's tasks may change in one round."""
 MAX_STEPS = 1000
 MAX_OCCURRENCES = 10_000
 """Limit per job, as the planner goes through all occurrences that are due."""
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -18,6 +18,7 @@
 from ..protocol.bounds import MAX_TEXT_LENGTH, Count, Text
 from ..protocol.job import Job, Step, parse_job_id
 from .known_capacities import KnownCapacities
+from .step_records import parse_step_record
 from .step_state import (
     DONE,
     FAILED,
@@ -27,13 +28,14 @@
     StepKey,
     StepState,
     TaskState,
-    parse_step_record,
     unstarted_state,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from .step_records import StepRange
+
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
 PLANNER_KEY = "planner"
@@ -76,13 +78,43 @@
     finished_s : float
         This process's clock when it first saw the job finished without open runs, 0
         before.
+    record_keys : set of str
+        Keys of the records that hold states of its steps.
     """
 
     job: Job
     cancelled: bool = False
     steps: dict[tuple[int, int], StepState] = field(default_factory=dict)
     finished_s: float = 0.0
+    record_keys: set[str] = field(default_factory=set)
     _status: JobStatus | None = field(default=None, init=False)
+    # Offset of the state of each task, for steps that are stored in several records.
+    _task_offsets: dict[tuple[int, int], list[int]] = field(
+        default_factory=dict, init=False
+    )
+    _whole_offsets: dict[tuple[int, int], int] = field(default_factory=dict, init=False)
+
+    def merge(
+        self, one: StepRange, tasks: tuple[TaskState, ...], offset: int
+    ) -> StepState:
+        """Return the state of a step with a record's states of some of its tasks.
+
+        States with a higher offset are kept.
+        """
+        place = (one.step.occurrence, one.step.step)
+        known = self.step_state(*place).tasks
+        is_whole = len(tasks) == len(known)
+        if is_whole and place not in self._task_offsets:
+            self._whole_offsets[place] = offset
+            return StepState(tasks)
+        offsets = self._task_offsets.setdefault(
+            place, [self._whole_offsets.get(place, -1)] * len(known)
+        )
+        merged = list(known)
+        for index, task in enumerate(tasks, one.first):
+            if offset > offsets[index]:
+                merged[index], offsets[index] = task, offset
+        return StepState(tuple(merged))
 
     def set_step(self, occurrence: int, number: int, state: StepState) -> None:
         """Replace the state of a step."""
@@ -244,13 +276,30 @@
             job_id = _parse_job_id(key)
             job_state = self.jobs.get(job_id)
             if job_state is None:
-                if value:
-                    self._orphans[job_id].append((offset, key, value))
+                self._hold_orphan(job_id, offset, key, value)
                 return
-            self._apply_to_job(job_state, key, value)
+            self._apply_to_job(job_state, offset, key, value)
         else:
             raise ValueError("records of this key are not known")
 
+    def _hold_orphan(self, job_id: str, offset: int, key: str, value: bytes) -> None:
+        """Keep the record of a job that is not known yet; an empty one removes it."""
+        held = [one for one in self._orphans.pop(job_id, ()) if one[1] != key]
+        if value:
+            held.append((offset, key, value))
+        if held:
+            self._orphans[job_id] = held
+
+    @property
+    def orphaned_step_keys(self) -> list[str]:
+        """Keys of the records of steps whose job is not stored."""
+        return [
+            key
+            for held in self._orphans.values()
+            for _offset, key, _value in held
+            if key.startswith(STEP_PREFIX)
+        ]
+
     def _apply_vacated(self, term: int) -> None:
         """Apply that a term was handed over, which can only be one that has begun."""
         newest = self.term.term if self.term is not None else 0
@@ -273,13 +322,17 @@
         for offset, key, held in self._orphans.pop(job_id, ()):
             self._apply_if_readable(offset, key, held)
 
-    def _apply_to_job(self, job_state: JobState, key: str, value: bytes) -> None:
+    def _apply_to_job(
+        self, job_state: JobState, offset: int, key: str, value: bytes
+    ) -> None:
         if not value:
             return
         if key == CANCEL_PREFIX + job_state.job.id:
             job_state.cancelled = True
         else:
-            self._set_step(job_state, *parse_step_record(job_state.job, key, value))
+            one, tasks = parse_step_record(job_state.job, key, value)
+            job_state.record_keys.add(key)
+            self._set_step(job_state, one.step, job_state.merge(one, tasks, offset))
         self._update_active(job_state)
 
     def _set_step(self, job_state: JobState, key: StepKey, state: StepState) -> None:
--- a/src/hyssoprill/state/known_capacities.py
+++ b/src/hyssoprill/state/known_capacities.py
@@ -42,5 +42,17 @@
             ]
         return self if largest == self.largest else KnownCapacities(largest)
 
+    def merged(self) -> KnownCapacities:
+        """Return one capacity for each group, which covers all that were seen.
+
+        Takes less space, and may let pass a task that fits no upstream.
+        """
+        return KnownCapacities(
+            {
+                group: [ResourceAmounts(*map(max, *known))] if known[1:] else known
+                for group, known in self.largest.items()
+            }
+        )
+
 
 __all__ = ["KnownCapacities"]
--- a/src/hyssoprill/state/step_state.py
+++ b/src/hyssoprill/state/step_state.py
@@ -1,20 +1,16 @@
-"""Stored states of the tasks of a step, and the key of their record."""
+"""States of the tasks of a step, as they are stored."""
 
 from __future__ import annotations
 
 from functools import cached_property, lru_cache
-from typing import TYPE_CHECKING, Annotated, NamedTuple
+from typing import Annotated, NamedTuple
 
-import msgspec
 from msgspec import Meta, Struct
 
 from ..protocol.bounds import Checkpoint, Count, SignedCount, Text
 from ..protocol.job import task_name
 from ..protocol.upstream_key import OptionalKeyText
 
-if TYPE_CHECKING:
-    from ..protocol.job import Job
-
 WAITING, OPEN, DONE, FAILED = 0, 1, 2, 3
 
 STEP_PREFIX = "step/"
@@ -135,46 +131,10 @@
 
     @property
     def record_key(self) -> str:
-        """Key of the step's record in the jobs topic."""
+        """Key of the record of all tasks of the step in the jobs topic."""
         return f"{STEP_PREFIX}{self.job_id}.{self.occurrence}.{self.step}"
 
 
-def parse_step_record(job: Job, key: str, value: bytes) -> tuple[StepKey, StepState]:
-    """Parse the record of a step of a job.
-
-    Raises
-    ------
-    ValueError
-        If key or value cannot be read, or cannot be of a step of this job.
-    """
-    step_key = _parse_step_key(key)
-    state = _decoder.decode(value)
-    _check_step(job, step_key, state)
-    return step_key, state
-
-
-def _parse_step_key(key: str) -> StepKey:
-    job_id, occurrence, number = key.partition("/")[2].split(".")
-    step_key = StepKey(job_id, int(occurrence), int(number))
-    if step_key.record_key != key:
-        raise ValueError("the key is not of a step")
-    return step_key
-
-
-def _check_step(job: Job, key: StepKey, state: StepState) -> None:
-    """Raise a `ValueError` where a state cannot be of a job's step."""
-    if key.occurrence not in range(job.occurrences):
-        raise ValueError(f"the job has no occurrence {key.occurrence}")
-    if key.step not in range(len(job.steps)):
-        raise ValueError(f"the job has no step {key.step}")
-    if len(state.tasks) != job.steps[key.step].count:
-        raise ValueError(f"the step does not have {len(state.tasks)} tasks")
-    if any(task.phase == OPEN and not task.upstream for task in state.tasks):
-        raise ValueError("an open run has no upstream")
-
-
-_decoder = msgspec.json.Decoder(StepState)
-
 __all__ = [
     "DONE",
     "FAILED",
@@ -184,6 +144,5 @@
     "StepKey",
     "StepState",
     "TaskState",
-    "parse_step_record",
     "unstarted_state",
 ]
--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -16,6 +16,7 @@
     StoreInDoubtError,
     StoreMovedError,
     StoreRefusedError,
+    StoreRejectedError,
 )
 from hyssoprill.ports.store import Page, StoredRecord
 
@@ -24,6 +25,10 @@
 
     from hyssoprill.ports.store import Record, Writer
 
+RECORD_BYTES = 262_144
+REQUEST_BYTES = 2_097_152
+"""Largest record, and largest sum of the records of one append."""
+
 
 @dataclass(slots=True)
 class LogTopic:
@@ -39,7 +44,13 @@
     def append(
         self, records: Sequence[Record], at: int | None, writer: Writer | None
     ) -> int:
-        """Append records and return the offset of the first."""
+        """Append records that the store takes; return the offset of the first."""
+        sizes = [
+            1 + len(one.key.encode(errors="surrogateescape")) + len(one.value)
+            for one in records
+        ]
+        if max(sizes, default=0) > RECORD_BYTES or sum(sizes) > REQUEST_BYTES:
+            raise StoreRejectedError("too large")
         if at is not None and at != self.end:
             raise StoreMovedError("the topic has grown")
         if writer is not None:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -14,6 +14,7 @@
     StoreFencedError,
     StoreHistoryLostError,
     StoreMovedError,
+    StoreRejectedError,
 )
 from hyssoprill.ports.store import Record, Writer
 
@@ -75,6 +76,10 @@
             offset = topic.append(
                 _unpack(self.request.body), None if at is None else int(at), writer
             )
+        except StoreRejectedError as exc:
+            self.set_status(400)
+            self.finish({"error": exc.message})
+            return
         except StoreMovedError:
             self.set_status(412)
             self.finish({"end": topic.end})
--- a/tests/coordination/intake/test_intake.py
+++ b/tests/coordination/intake/test_intake.py
@@ -7,11 +7,18 @@
 
 import msgspec
 import pytest
+from msgspec.structs import replace
 from standins.job_store import MemoryStore
 
 from hyssoprill.coordination.intake.intake import JobIntake
 from hyssoprill.coordination.planner.replica import Replica
-from hyssoprill.errors import NeverFitsError, StoreInDoubtError, StoreRefusedError
+from hyssoprill.errors import (
+    JobTooLargeError,
+    NeverFitsError,
+    StoreInDoubtError,
+    StoreRefusedError,
+    StoreRejectedError,
+)
 from hyssoprill.ports.store import Record
 from hyssoprill.protocol.job import ZERO_AMOUNTS, Job, ResourceAmounts, Step
 from hyssoprill.state.job_table import SIZES_KEY
@@ -70,6 +77,37 @@
     run_scenario(scenario)
 
 
+def test_job_that_does_not_fit_into_a_record_is_refused_and_not_stored():
+    # Guards against a limit on the body, which is shorter than the stored job.
+    steps = tuple(Step(need=ResourceAmounts(1, 1, 1), after=()) for _ in range(1000))
+    large = replace(make_job(), steps=steps, payload="x" * 262_144)
+
+    async def scenario(store, _replica, intake):
+        before = store.writes
+        with pytest.raises(JobTooLargeError, match="262144"):
+            await intake.accept(large)
+        assert store.writes == before
+        await intake.accept(make_job())
+
+    run_scenario(scenario)
+
+
+def test_jobs_are_accepted_beside_one_that_the_store_rejects():
+    large = replace(make_job(), payload="x" * 262_144)
+
+    async def scenario(store, replica, intake):
+        intake._record_bytes = 10**9
+        jobs = [make_job(f"{number:016x}") for number in range(5)]
+        results = await asyncio.gather(
+            *map(intake.accept, [large, *jobs]), return_exceptions=True
+        )
+        assert isinstance(results[0], StoreRejectedError)
+        assert results[1:] == [None] * 5
+        assert set(replica.job_table.jobs) == {one.id for one in jobs}
+
+    run_scenario(scenario)
+
+
 def test_job_of_a_group_without_known_upstreams_is_accepted():
     async def scenario(store, replica, intake):
         sizes = KnownCapacities().extended([("other", ResourceAmounts(1, 1000, 1000))])
--- a/tests/coordination/planner/test_progress_speeds.py
+++ b/tests/coordination/planner/test_progress_speeds.py
@@ -12,6 +12,7 @@
 from hyssoprill.coordination.planner.fleet import Fleet
 from hyssoprill.coordination.planner.progress_speeds import ProgressSpeeds
 from hyssoprill.coordination.planner.run_times import RunTimes
+from hyssoprill.ports.store import DEFAULT_RECORD_BYTES
 from hyssoprill.protocol.job import Job, ResourceAmounts, Step
 from hyssoprill.protocol.upstream_messages import RunReport, UpstreamReport, VmReport
 from hyssoprill.state.job_table import OPEN, JobTable, StepKey, StepState, TaskState
@@ -134,9 +135,8 @@
     for index in range(6):
         key = StepKey(JOB, 0, 0)
         changes.end_run(key, index, "done", "", max_attempts=3, ran_ms=10_000)
-    for batch in changes.batches():
-        for record in batch:
-            runs.apply(record.key, record.value)
+    for record in changes.records(DEFAULT_RECORD_BYTES):
+        runs.apply(record.key, record.value)
     runs.fleet.reset()
     runs.speeds.clear()
     runs.speeds.learn()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,7 +8,7 @@
 import pytest
 from tornado.web import RequestHandler
 
-from hyssoprill.errors import StoreInDoubtError
+from hyssoprill.errors import StoreInDoubtError, StoreRejectedError
 from hyssoprill.ports.store import Record
 from hyssoprill.transport.http_server import HttpListener
 
@@ -35,8 +35,9 @@
 
 
 class Canned(RequestHandler):
-    def initialize(self, bodies: list[bytes]) -> None:
+    def initialize(self, bodies: list[bytes], status: int = 200) -> None:
         self.bodies = bodies
+        self.set_status(status)
 
     def get(self) -> None:
         self.finish(self.bodies.pop(0))
@@ -44,13 +45,13 @@
     post = get
 
 
-def run_scenario(scenario, *bodies: bytes) -> None:
+def run_scenario(scenario, *bodies: bytes, status: int = 200) -> None:
     """Run a coroutine function with a client that gets these bodies as answers."""
     from adapter.store import LogStore
 
     async def main() -> None:
         listener = HttpListener("127.0.0.1", 0)
-        routes = [(r"/.*", Canned, {"bodies": list(bodies)})]
+        routes = [(r"/.*", Canned, {"bodies": list(bodies), "status": status})]
         listener.serve(routes, body_limit_bytes=65_536)
         store = LogStore(listener.url.removeprefix("http://"))
         await scenario(store)
@@ -140,3 +141,13 @@
         assert found.next_offset == 8
 
     run_scenario(scenario, page(b"\x01ax", b"\x01by")[:-1])
+
+
+@pytest.mark.parametrize("status", [400, 413])
+def test_append_that_the_store_answers_as_invalid_is_certainly_not_stored(status):
+    # Guards against repeats without an end of an append that is never taken.
+    async def scenario(store):
+        with pytest.raises(StoreRejectedError, match=str(status)):
+            await store.append("jobs", [Record("a", b"b")])
+
+    run_scenario(scenario, b"{}", status=status)
