Withhold an end until the lease has lapsed where its task was started again

Cause: the planner takes the leases of a silent VM as lapsed 9.88 s after its last grant. A renewal without an answer may be carried out 12 s later and extend the lease from then on; its agent stops what runs before the grant ends, but what had ended before was still acknowledged.

Change: the planner withholds such an end, and a failure that was not counted, and has the upstream's lease lapse; the agent neither extends it nor starts anything until no call can have kept it, and reports that. Lapses out of contact are reported at once, so that a cut without late calls waits for nothing.

Two tests of test_planner.py had upstreams that had been taken as lapsed and did not say whether their leases had; they now report the lapse, and demand the same as before.

--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -14,6 +14,7 @@
 from .run_log import RunLog
 from .runs import NO_PROGRESS, elapsed_s
 from .set_aside import set_aside
+from .withheld_ends import first_withheld_end
 
 if TYPE_CHECKING:
     from ...protocol.job import Step
@@ -43,7 +44,14 @@
 
 @dataclass(slots=True)
 class RunCloser:
-    """Turns the reports of upstreams into changes of the job table."""
+    """Turns the reports of upstreams into changes of the job table.
+
+    Attributes
+    ----------
+    withheld : dict
+        For each upstream the first of its ends that may be acknowledged only once its
+        lease has lapsed; see `first_withheld_end`.
+    """
 
     job_table: JobTable
     fleet: Fleet
@@ -51,6 +59,7 @@
     failures: FailureTracker
     speeds: UpstreamSpeeds
     run_times: RunTimes
+    withheld: dict[str, int] = field(default_factory=dict)
     _checkpoints_recorded_s: float = field(default_factory=boottime_s)
     _log: RunLog = field(default_factory=RunLog)
 
@@ -60,16 +69,18 @@
         Returns
         -------
         dict
-            For each upstream the highest number of the ends that it reported.
+            For each upstream the number up to which its ends may be acknowledged.
         """
         self._forget_refusals()
         highest_numbers: dict[str, int] = {}
+        withheld, self.withheld = self.withheld, {}
 
         def close(report: UpstreamReport) -> None:
             self._close_reported_by(report, changes)
             if report.ended:
-                numbers = [row.number for row in report.ended]
-                highest_numbers[report.key] = max(numbers)
+                highest_numbers[report.key] = self._acknowledgeable_upto(
+                    report, changes, withheld.get(report.key)
+                )
 
         def close_last(report: UpstreamReport) -> None:
             self._close_reported_by(report, changes)
@@ -81,6 +92,32 @@
         self._log.write()
         return highest_numbers
 
+    def _acknowledgeable_upto(
+        self, report: UpstreamReport, changes: StepChanges, known: int | None
+    ) -> int:
+        """Return up to which number the ends of a report may be acknowledged.
+
+        Parameters
+        ----------
+        known : int or None
+            The end of this upstream that was withheld before.
+        """
+        row = first_withheld_end(report, changes, self.job_table)
+        if row is None:
+            return max(one.number for one in report.ended)
+        self.withheld[report.key] = row.number
+        if row.number != known:
+            decision(
+                "end_withheld",
+                upstream=report.key,
+                task=row.task,
+                run=row.run,
+                how=row.outcome,
+                number=row.number,
+                lapsed_upto=report.lapsed_upto,
+            )
+        return row.number - 1
+
     def _forget_refusals(self) -> None:
         """Forget the refusals of steps of which a later run is listed as running.
 
--- a/src/hyssoprill/coordination/planner/orders.py
+++ b/src/hyssoprill/coordination/planner/orders.py
@@ -14,7 +14,7 @@
 from .renewals import StartRenewals
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     from ...protocol.message import Message
     from ...state.job_table import JobTable
@@ -23,7 +23,7 @@
     from .upstream_runs import UpstreamRunsCache
 
     Send = Callable[[str, Message], None]
-    UpstreamVersions = tuple[str, int, int, int]
+    UpstreamVersions = tuple[str, int, int, int, bool]
 
 
 class OrderPublisher:
@@ -57,6 +57,7 @@
         self._sent: dict[str, tuple[tuple[int, int], list[UpstreamOrders]]] = {}
         self._sent_versions: dict[str, tuple[float, list[UpstreamVersions]]] = {}
         self._stored_upto: dict[str, int] = {}
+        self._must_lapse: set[str] = set()
         self._last_number = 0
         self.validity_s = DEFAULT_VALIDITY_S
         self.renewals = StartRenewals(job_table, fleet, stopping, upstream_runs)
@@ -66,12 +67,27 @@
         self._sent.clear()
         self._sent_versions.clear()
         self._stored_upto.clear()
+        self._must_lapse.clear()
         self.renewals.clear()
         self._last_number = 0
 
-    def acknowledge(self, stored_upto: dict[str, int]) -> None:
-        """Set the number up to which each upstream's ended runs are stored."""
-        self._stored_upto.update(stored_upto)
+    def acknowledge(
+        self, stored_upto: Mapping[str, int], withheld: Mapping[str, int]
+    ) -> None:
+        """Set the number up to which each upstream's ended runs are stored.
+
+        Parameters
+        ----------
+        withheld : Mapping
+            First end that is acknowledged only once the upstream's lease has lapsed.
+        """
+        for key, number in stored_upto.items():
+            self._stored_upto[key] = max(number, self._stored_upto.get(key, 0))
+        self._must_lapse = {
+            key
+            for key, number in withheld.items()
+            if number > self._stored_upto.get(key, 0)
+        }
 
     def publish(self, term: int, names: Collection[str] | None = None) -> None:
         """Send each VM, or those named, its orders if they have changed."""
@@ -93,7 +109,13 @@
         """Return the versions of all that the orders of a VM are made of."""
         runs, stops = self._job_table.open_runs_versions, self._stopping.versions
         return self.renewals.renewed_s(name), [
-            (key, runs.get(key, 0), stops.get(key, 0), self._stored_upto.get(key, 0))
+            (
+                key,
+                runs.get(key, 0),
+                stops.get(key, 0),
+                self._stored_upto.get(key, 0),
+                key in self._must_lapse,
+            )
             for key in upstreams
         ]
 
@@ -152,7 +174,8 @@
                     self.renewals.decided_ms((task, run.run), stored.started_ms),
                 )
             )
-        return UpstreamOrders(key, runs, stopping, self._stored_upto.get(key, 0))
+        stored_upto, must_lapse = self._stored_upto.get(key, 0), key in self._must_lapse
+        return UpstreamOrders(key, runs, stopping, stored_upto, must_lapse)
 
 
 __all__ = ["OrderPublisher", "Send"]
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -254,7 +254,7 @@
             self._closer.record_checkpoints(changes)
             self._withdraw_broken_gangs(changes)
         await self._append_changes(changes)
-        self._orders.acknowledge(stored_upto)
+        self._orders.acknowledge(stored_upto, self._closer.withheld)
         self._stopping.retain(self._job_table.open_runs)
         await self._append_capacities()
         with self._load.computing("stops"):
@@ -408,6 +408,7 @@
             terms,
             learned.lifetimes if terms.upstream_lifetimes else None,
             learned.share_buckets,
+            self._closer.withheld.keys(),
         )
 
 
--- a/src/hyssoprill/coordination/planner/policy_inputs.py
+++ b/src/hyssoprill/coordination/planner/policy_inputs.py
@@ -35,7 +35,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Collection, Iterator
 
     from ...protocol.job import ResourceAmounts, Step
     from ...protocol.upstream_messages import UpstreamReport
@@ -61,7 +61,13 @@
 
 @dataclass(slots=True)
 class PolicyInputs:
-    """The inputs of one round of the dispatch policy."""
+    """The inputs of one round of the dispatch policy.
+
+    Attributes
+    ----------
+    lapsing : Collection of str
+        Keys of the upstreams whose leases have to lapse before they take starts.
+    """
 
     job_table: JobTable
     fleet: Fleet
@@ -76,6 +82,7 @@
     terms: DispatchTerms = field(default_factory=DispatchTerms)
     lifetimes: UpstreamLifetimes | None = None
     share_buckets: dict[str, int] = field(default_factory=dict)
+    lapsing: Collection[str] = ()
     _stakes: dict[tuple[str, int], CallerStake] = field(
         init=False, default_factory=dict
     )
@@ -106,7 +113,9 @@
             for vm in self.fleet.vms.values()
             if vm.is_responsive(now_s)
             for report in vm.upstreams.values()
-            if report.accepting and report.zone not in self.operator_config.zones_out
+            if report.accepting
+            and report.zone not in self.operator_config.zones_out
+            and report.key not in self.lapsing
         ]
         view = partial(
             self._upstream_view,
--- a/src/hyssoprill/coordination/upstream/lease.py
+++ b/src/hyssoprill/coordination/upstream/lease.py
@@ -46,6 +46,17 @@
         self._expires_s = 0.0
         self._in_doubt_until_s = in_doubt_until_s
         self._reported_until_s = in_doubt_until_s
+        # On the clock that stops during a suspension, as upstreams' clocks may. Begins
+        # with what calls of an earlier process of the agent may have extended.
+        agent_age_s = boottime_s() - grant.began_s
+        self._held_until_s = (
+            time.monotonic() - agent_age_s + MAX_CALL_DELAY_S + self._longest_s
+        )
+
+    @property
+    def _longest_s(self) -> float:
+        """Longest time for which a call can extend the lease from its arrival."""
+        return self._max_lease_s * (1 + MAX_CLOCK_DRIFT)
 
     def sync_clock(self, clock_ms: float) -> None:
         """Record the current time of the upstream's clock."""
@@ -84,6 +95,20 @@
             expires_s = arrived_by_s + lease_s * (1 + MAX_CLOCK_DRIFT)
             self._expires_s = max(self._expires_s, expires_s)
 
+    def record_answered_call(self, lease_s: float) -> None:
+        """Record that a call which has been answered may have extended the lease."""
+        self._record_hold(0.0, lease_s)
+
+    def _record_hold(self, delay_s: float, lease_s: float) -> None:
+        if lease_s > MIN_LEASE_S:
+            until_s = time.monotonic() + delay_s + lease_s * (1 + MAX_CLOCK_DRIFT)
+            self._held_until_s = max(self._held_until_s, until_s)
+
+    @property
+    def has_lapsed(self) -> bool:
+        """Whether no call so far can keep the lease from having lapsed by now."""
+        return time.monotonic() > self._held_until_s
+
     def record_unanswered_call(self, sent_s: float, lease_s: float) -> bool:
         """Record an unanswered call, which may still extend the lease much later.
 
@@ -92,6 +117,7 @@
         bool
             Whether the in-doubt period has grown enough to be reported.
         """
+        self._record_hold(MAX_CALL_DELAY_S, lease_s)
         until_s = sent_s + MAX_CALL_DELAY_S + max(lease_s, 0.0)
         self._in_doubt_until_s = max(self._in_doubt_until_s, until_s)
         if until_s - self._reported_until_s <= MIN_REPORTED_INCREASE_S:
--- a/src/hyssoprill/coordination/upstream/session.py
+++ b/src/hyssoprill/coordination/upstream/session.py
@@ -118,6 +118,7 @@
         self._listing: RunListing | None = None
         self._listing_sent_s = float("-inf")
         self._listing_waits = 0
+        self._lapsed_upto = 0
         self._tasks = TaskSet()
         self._tasks.supervise("lease_renewals", self._renew_loop)
         for run in inherited:
@@ -152,7 +153,8 @@
             check_in.zone,
             not check_in.draining
             and listing is not None
-            and self.stop_calls.are_inherited_settled,
+            and self.stop_calls.are_inherited_settled
+            and not self._must_lapse,
             check_in.capacity,
             list(check_in.labels),
             running,
@@ -165,6 +167,7 @@
             self._lease_tracker.in_doubt_s,
             self.crashed,
             self.start_calls.starting_rows() if self.crashed else [],
+            lapsed_upto=self._lapsed_upto,
         )
 
     def record_end(self, *, crashed: bool) -> None:
@@ -205,6 +208,8 @@
         The other parameters are fields of the message with the orders.
         """
         is_first = self._orders is None
+        if orders.must_lapse and not self._must_lapse:
+            decision("lapse_awaited", upstream=str(self.key))
         self._orders = orders
         self._order_ages.update(orders.runs, echoed_clock_s, sent_ms, echo_age_s)
         self._ordered_runs = {(run.task, run.run): run for run in orders.runs}
@@ -312,6 +317,7 @@
             if self._start_blocker():
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            self._record_lapse()
             sent_s, lease_s = boottime_s(), self._lease_length_s
             self.start_calls.begin(key)
             self._order_ages.hold(key)
@@ -345,6 +351,7 @@
                 self.start_calls.record_unanswered(key, broken_off=False)
                 self._record_unanswered_call(sent_s, lease_s)
                 raise
+            self._lease_tracker.record_answered_call(lease_s)
             if answer.accepted:
                 self.start_calls.record_accepted(key)
                 self._started.add(key)
@@ -435,6 +442,8 @@
 
     def _start_blocker(self) -> str:
         """Return why no run may be started now, or ''."""
+        if self._must_lapse:
+            return "the lease has to lapse"
         if not self._grant.may_start:
             return "no recent grant from the planner"
         if self._listing is None or self._lease_length_s < MIN_LEASE_S:
@@ -465,6 +474,7 @@
     async def _renew_loop(self) -> None:
         """Renew the lease and read the listing until the incarnation has ended."""
         while not self.gone:
+            self._record_lapse()
             sent_s, lease_s = boottime_s(), self._lease_length_s
             term = self._fence_search.term
             try:
@@ -499,6 +509,7 @@
                 continue
             self._departure.record_call(refused=False)
             self._lease_tracker.record_extension(sent_s + RENEW_TIMEOUT_S, lease_s)
+            self._lease_tracker.record_answered_call(lease_s)
             self._apply_listing(listing, sent_s)
             await asyncio.sleep(
                 RETRY_DELAY_S if self._listing_waits else MIN_RENEW_INTERVAL_S
@@ -523,8 +534,28 @@
         )
         return listing.with_unstored_ends(self._listing, stored_upto)
 
+    @property
+    def _must_lapse(self) -> bool:
+        return self._orders is not None and self._orders.must_lapse
+
+    def _record_lapse(self) -> None:
+        """Record up to which end the lease has lapsed; before a call that extends it.
+
+        What is listed then has ended before: nothing runs without a lease.
+        """
+        listing = self._listing
+        if listing is None or not self._lease_tracker.has_lapsed:
+            return
+        upto = max((row.number for row in listing.ended), default=0)
+        if upto > self._lapsed_upto:
+            self._lapsed_upto = upto
+            decision("lease_lapsed", upstream=str(self.key), ends_upto=upto)
+            self._on_change()
+
     @property
     def _lease_length_s(self) -> float:
+        if self._must_lapse and self._listing is not None and not self._listing.running:
+            return 0.0
         return self._lease_tracker.length_s(draining=self.check_in.draining)
 
     def _lease_expiry_ms(self) -> int:
--- a/src/hyssoprill/protocol/upstream_messages.py
+++ b/src/hyssoprill/protocol/upstream_messages.py
@@ -91,6 +91,8 @@
         runs that were only listed right after the call.
     unsettled : list of tuple
         Runs of an ended incarnation that a later one may run, or may still start.
+    lapsed_upto : int
+        The lease has certainly lapsed since the ends up to this number were listed.
     """
 
     key: KeyText
@@ -110,6 +112,7 @@
     crashed: bool = False
     unlisted: list[tuple[str, Count, bool]] = []
     unsettled: list[tuple[str, Count]] = []
+    lapsed_upto: Count = 0
 
 
 class VmReport(Message):
@@ -195,12 +198,16 @@
         Runs that are to be stopped and whose end is not stored yet.
     stored_upto : int
         Ends up to this number are stored, so the upstream need not keep them.
+    must_lapse : bool
+        Whether the lease has to lapse before further ends are acknowledged. It is not
+        extended, and no run is started, once nothing runs there.
     """
 
     key: KeyText
     runs: list[RunOrder]
     stopping: list[tuple[str, Count]]
     stored_upto: Count
+    must_lapse: bool = False
 
 
 class VmOrders(Message):
--- a/tests/coordination/planner/conftest.py
+++ b/tests/coordination/planner/conftest.py
@@ -130,6 +130,7 @@
         self.draining = False
         self.running: list[RunReport] = []
         self.last_reports: list[UpstreamReport] = []
+        self.lapsed_upto = 0
 
     def upstream_report(self) -> UpstreamReport:
         return UpstreamReport(
@@ -144,6 +145,7 @@
             list(self.closed),
             list(self.refused),
             draining=self.draining,
+            lapsed_upto=self.lapsed_upto,
         )
 
     def report(self) -> None:
--- a/tests/coordination/planner/test_planner.py
+++ b/tests/coordination/planner/test_planner.py
@@ -585,6 +585,8 @@
         steps = (Step(need=WHOLE), Step(need=WHOLE, after=(0,)))
         entry, silent, alive = await begin_again_elsewhere(harness, make_agent, *steps)
         task, following = f"{NAME}.0.0.0", f"{NAME}.0.1.0"
+        # Its agent tells that the lease has lapsed out of contact.
+        silent.lapsed_upto = 1
         silent.end(task, 1, "done")
         await harness.wait_until(lambda: stopping_on(entry, alive) == [(task, 2)])
         await harness.wait_until(
@@ -718,6 +720,8 @@
         await asyncio.sleep(0.1)
         assert entry.ordered_runs() == {}
         agent.running = []
+        # Later runs were decided while the VM was silent; the lease has lapsed then.
+        agent.lapsed_upto = 1
         agent.end(f"{NAME}.0.0.0", 1, "done")
         agent.report()
         await harness.wait_until(lambda: entry.orders("vm-1")[agent.key].stored_upto)
