Count jobs as begun by what their upstreams tell, not by the decision to start

Cause: the record of a step is written when a start is decided, before the order, and stays when the start is refused; its presence was taken for a start.

Change: the state of a task tells whether a run of it is known to have begun, or known not to have. A run is assumed to have begun until its start is refused, withdrawn or not listed in 2 s, so that the usual start takes no further record; after that, until it is listed. `waiting` and `queued`/`running` follow. Related: runs that lapsed on a silent VM without ever having been listed had counted as begun, and in the estimates of run times as cut off.

--- a/src/hyssoprill/coordination/planner/changes.py
+++ b/src/hyssoprill/coordination/planner/changes.py
@@ -9,6 +9,7 @@
 from ...clock import unix_ms
 from ...state.job_table import DONE, FAILED, OPEN, WAITING, TaskState
 from ...state.step_records import encode_step
+from ...state.step_state import BEGUN, NOT_BEGUN
 from .crashes import crashes_upstreams, record_crash
 
 if TYPE_CHECKING:
@@ -90,6 +91,12 @@
         tasks = self._editable_tasks(key)
         tasks[index] = replace(tasks[index], newer_checkpoint=checkpoint)
 
+    def record_beginning(self, key: StepKey, index: int, *, has_begun: bool) -> None:
+        """Record whether the open run of a task has begun."""
+        tasks = self._editable_tasks(key)
+        beginning = _beginning(tasks[index], has_begun=has_begun)
+        tasks[index] = replace(tasks[index], beginning=beginning)
+
     def clear_suspicion(self, key: StepKey, index: int) -> None:
         """Record that a run works, and so did not crash its upstream by its start.
 
@@ -123,6 +130,7 @@
         max_attempts: int,
         ran_ms: int = 0,
         crash: UpstreamCrash | None = None,
+        has_begun: bool = True,
     ) -> None:
         """Close the open run of a task.
 
@@ -140,6 +148,8 @@
             Run time to keep with a done task, 0 for none.
         crash : UpstreamCrash or None
             Crash of its upstream, if the task is a suspect.
+        has_begun : bool
+            Whether the run had begun.
         """
         step = self._step(key)
         tasks = self._editable_tasks(key)
@@ -161,7 +171,11 @@
         has_used_attempts = failures >= max_attempts and not step.long_running
         suspicion = _suspicion(task, outcome, crash, is_gang=step.gang)
         is_final = has_used_attempts or crashes_upstreams(suspicion)
-        tasks[index] = TaskState(FAILED if is_final else WAITING, task.run)
+        tasks[index] = TaskState(
+            FAILED if is_final else WAITING,
+            task.run,
+            beginning=_beginning(task, has_begun=has_begun),
+        )
         for one in self._sharing_runs(key, index):
             tasks[one] = replace(
                 tasks[one],
@@ -187,6 +201,11 @@
         return self._tasks[key]
 
 
+def _beginning(task: TaskState, *, has_begun: bool) -> int:
+    """Return what is known of a task's runs, given whether the newest has begun."""
+    return BEGUN if has_begun or task.beginning == BEGUN else NOT_BEGUN
+
+
 def _suspicion(
     task: TaskState, outcome: str, crash: UpstreamCrash | None, *, is_gang: bool
 ) -> TaskState:
--- a/src/hyssoprill/coordination/planner/closing.py
+++ b/src/hyssoprill/coordination/planner/closing.py
@@ -9,12 +9,13 @@
 from ...logs import decision
 from ...protocol.upstream_messages import GRANT_ENDED, ORDER_EXPIRED
 from ...state.job_table import DONE, FAILED, OPEN
+from .beginnings import had_begun, record_beginnings
 from .crashes import crashes_upstreams, find_crashes
 from .policy_inputs import rack_of
 from .run_log import RunLog
 from .runs import NO_PROGRESS, elapsed_s
 from .set_aside import set_aside
-from .withheld_ends import first_withheld_end
+from .withheld_ends import WithheldEnds
 
 if TYPE_CHECKING:
     from ...protocol.job import Step
@@ -44,14 +45,7 @@
 
 @dataclass(slots=True)
 class RunCloser:
-    """Turns the reports of upstreams into changes of the job table.
-
-    Attributes
-    ----------
-    withheld : dict
-        For each upstream the first of its ends that may be acknowledged only once its
-        lease has lapsed; see `first_withheld_end`.
-    """
+    """Turns the reports of upstreams into changes of the job table."""
 
     job_table: JobTable
     fleet: Fleet
@@ -59,7 +53,7 @@
     failures: FailureTracker
     speeds: UpstreamSpeeds
     run_times: RunTimes
-    withheld: dict[str, int] = field(default_factory=dict)
+    withheld_ends: WithheldEnds = field(default_factory=WithheldEnds)
     _checkpoints_recorded_s: float = field(default_factory=boottime_s)
     _log: RunLog = field(default_factory=RunLog)
 
@@ -73,13 +67,13 @@
         """
         self._forget_refusals()
         highest_numbers: dict[str, int] = {}
-        withheld, self.withheld = self.withheld, {}
+        self.withheld_ends.begin_round()
 
         def close(report: UpstreamReport) -> None:
             self._close_reported_by(report, changes)
             if report.ended:
-                highest_numbers[report.key] = self._acknowledgeable_upto(
-                    report, changes, withheld.get(report.key)
+                highest_numbers[report.key] = self.withheld_ends.acknowledgeable_upto(
+                    report, changes, self.job_table
                 )
 
         def close_last(report: UpstreamReport) -> None:
@@ -92,32 +86,6 @@
         self._log.write()
         return highest_numbers
 
-    def _acknowledgeable_upto(
-        self, report: UpstreamReport, changes: StepChanges, known: int | None
-    ) -> int:
-        """Return up to which number the ends of a report may be acknowledged.
-
-        Parameters
-        ----------
-        known : int or None
-            The end of this upstream that was withheld before.
-        """
-        row = first_withheld_end(report, changes, self.job_table)
-        if row is None:
-            return max(one.number for one in report.ended)
-        self.withheld[report.key] = row.number
-        if row.number != known:
-            decision(
-                "end_withheld",
-                upstream=report.key,
-                task=row.task,
-                run=row.run,
-                how=row.outcome,
-                number=row.number,
-                lapsed_upto=report.lapsed_upto,
-            )
-        return row.number - 1
-
     def _forget_refusals(self) -> None:
         """Forget the refusals of steps of which a later run is listed as running.
 
@@ -166,13 +134,23 @@
             if (task, run.run) in unsettled:
                 continue
             checkpoint = self.fleet.latest_checkpoint(key, task, run.run)
-            self._close(changes, key, task, run, reason, checkpoint, crashes.get(task))
+            self._close(
+                changes,
+                key,
+                task,
+                run,
+                reason,
+                checkpoint,
+                crashes.get(task),
+                has_begun=had_begun(run, task, self.job_table, self.fleet),
+            )
 
     def record_checkpoints(self, changes: StepChanges) -> None:
-        """Record checkpoints and survived starts, every `CHECKPOINT_INTERVAL_S`."""
+        """Record checkpoints and what has begun, every `CHECKPOINT_INTERVAL_S`."""
         if boottime_s() - self._checkpoints_recorded_s < CHECKPOINT_INTERVAL_S:
             return
         self._checkpoints_recorded_s = boottime_s()
+        record_beginnings(changes, self.job_table, self.fleet)
         for report in self.fleet.reports():
             open_runs = self.job_table.open_runs.get(report.key, {})
             for row in report.running:
@@ -242,7 +220,10 @@
         for task, number, outcome, checkpoint in ends:
             run = open_runs.get(task)
             if run is not None and run.run == number:
-                self._close(changes, key, task, run, outcome, checkpoint)
+                has_begun = outcome != CLOSED and not outcome.startswith(REFUSED)
+                self._close(
+                    changes, key, task, run, outcome, checkpoint, has_begun=has_begun
+                )
 
     def _record_speed(self, upstream: str, run: OpenRun, ran_s: float) -> None:
         """Record the speed of a completed run, unless it says little of its upstream.
@@ -334,6 +315,8 @@
         outcome: str,
         checkpoint: str,
         crash: UpstreamCrash | None = None,
+        *,
+        has_begun: bool,
     ) -> None:
         before = changes.task(run.step, run.index)
         if before.phase != OPEN:
@@ -353,6 +336,7 @@
             max_attempts=job.max_attempts,
             ran_ms=round(ran_s * 1000),
             crash=crash,
+            has_begun=has_begun,
         )
         if outcome == "done":
             self.failures.record_success(upstream, boottime_s() - elapsed_s(before))
@@ -374,8 +358,7 @@
             )
         elif outcome.startswith(REFUSED) and outcome not in LATE_OUTCOMES:
             self.failures.record_refusal(run.step, boottime_s(), run.run)
-        has_started = outcome != CLOSED and not outcome.startswith(REFUSED)
-        if has_started and outcome not in ("done", "failed"):
+        if has_begun and outcome not in ("done", "failed"):
             self._record_cut_off(job_state, run, before)
         self._log_end(changes, run, outcome, before, gang_before)
         if crash is not None:
--- a/src/hyssoprill/coordination/planner/election.py
+++ b/src/hyssoprill/coordination/planner/election.py
@@ -16,7 +16,7 @@
     StoreRejectedError,
 )
 from ...logs import decision
-from ...ports.store import Record, Writer
+from ...ports.store import Record, Writer, split_batches
 from ...state.job_table import PLANNER_KEY, VACATED_KEY, Term
 
 if TYPE_CHECKING:
@@ -351,4 +351,22 @@
         self._replica.planner_last_seen_s = boottime_s()
 
 
-__all__ = ["PlannerElection"]
+async def append_all(election: PlannerElection, records: Sequence[Record]) -> None:
+    """Append a planner's records in as few appends as the store takes.
+
+    Raises
+    ------
+    StoreFencedError, StoreRejectedError
+        As `PlannerElection.append`; records before the rejected one are stored.
+    """
+    for batch in split_batches(records):
+        try:
+            await election.append(batch)
+        except StoreRejectedError:
+            if len(batch) == 1:
+                raise
+            for record in batch:
+                await election.append([record])
+
+
+__all__ = ["PlannerElection", "append_all"]
--- a/src/hyssoprill/coordination/planner/fleet.py
+++ b/src/hyssoprill/coordination/planner/fleet.py
@@ -152,6 +152,11 @@
         self._last_new_vm_s = float("inf")
         self._reported_vms.clear()
 
+    @property
+    def term_age_s(self) -> float:
+        """Time since this planner's term began, in seconds."""
+        return boottime_s() - self.term_began_s
+
     def apply_report(self, report: VmReport) -> VmState:
         """Apply a report and return the state of its VM."""
         vm = self.record_contact(report.vm, report.clock_s)
--- a/src/hyssoprill/coordination/planner/planner.py
+++ b/src/hyssoprill/coordination/planner/planner.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from ...clock import boottime_s, unix_ms
-from ...errors import StoreError, StoreRejectedError, UnservedError
+from ...errors import StoreError, UnservedError
 from ...logs import decision
-from ...ports.store import DEFAULT_RECORD_BYTES, Record, split_batches
+from ...ports.store import DEFAULT_RECORD_BYTES, Record
 from ...protocol.upstream_key import parse_upstream_key
 from ...protocol.upstream_messages import Grant, Referral
 from ...state.job_table import SIZES_KEY
@@ -22,6 +22,7 @@
 from .answer_delays import AnswerDelays
 from .changes import StepChanges
 from .closing import RunCloser
+from .election import append_all
 from .fleet import Fleet
 from .job_ends import JobEnds
 from .learned import Learned
@@ -38,7 +39,7 @@
 from .upstream_runs import UpstreamRunsCache
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable
 
     from ...job_settings import JobBounds
     from ...protocol.placement_query import JobDraft, JobPlacement
@@ -254,7 +255,7 @@
             self._closer.record_checkpoints(changes)
             self._withdraw_broken_gangs(changes)
         await self._append_changes(changes)
-        self._orders.acknowledge(stored_upto, self._closer.withheld)
+        self._orders.acknowledge(stored_upto, self._closer.withheld_ends.first)
         self._stopping.retain(self._job_table.open_runs)
         await self._append_capacities()
         with self._load.computing("stops"):
@@ -291,18 +292,7 @@
             self._orders.renewals.renew(self._orders.validity_s, zones_out, now_ms)
 
     async def _append_changes(self, changes: StepChanges) -> None:
-        await self._append(changes.records(self._record_bytes))
-
-    async def _append(self, records: Sequence[Record]) -> None:
-        """Append records in as few appends as the store takes."""
-        for batch in split_batches(records):
-            try:
-                await self._election.append(batch)
-            except StoreRejectedError:
-                if len(batch) == 1:
-                    raise
-                for record in batch:
-                    await self._election.append([record])
+        await append_all(self._election, changes.records(self._record_bytes))
 
     async def _append_capacities(self) -> None:
         """Store the largest known capacities for all entries when one is exceeded."""
@@ -327,7 +317,7 @@
         self._upstream_runs.retain(upstreams)
         self._learned.retain(upstreams, self._last_drop_s)
         records = expired_records(self._job_table, self._state_kept_s)
-        await self._append(records)
+        await append_all(self._election, records)
         if records:
             decision("jobs_dropped", records=len(records), term=self._term)
 
@@ -408,7 +398,7 @@
             terms,
             learned.lifetimes if terms.upstream_lifetimes else None,
             learned.share_buckets,
-            self._closer.withheld.keys(),
+            self._closer.withheld_ends.first.keys(),
         )
 
 
--- a/src/hyssoprill/coordination/planner/withheld_ends.py
+++ b/src/hyssoprill/coordination/planner/withheld_ends.py
@@ -8,8 +8,10 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ...logs import decision
 from ...state.job_table import DONE
 
 if TYPE_CHECKING:
@@ -18,17 +20,48 @@
     from .changes import StepChanges
 
 
-def first_withheld_end(
-    report: UpstreamReport, changes: StepChanges, job_table: JobTable
-) -> EndReport | None:
-    """Return the first end that needs a lapse of the lease, None if there is none."""
-    rows = [
-        row
-        for row in report.ended
-        if row.number > report.lapsed_upto
-        and _was_started_again(row, changes, job_table)
-    ]
-    return min(rows, key=lambda row: row.number, default=None)
+@dataclass(slots=True)
+class WithheldEnds:
+    """Ends that may be acknowledged only once the lease of their upstream has lapsed.
+
+    Attributes
+    ----------
+    first : dict
+        The number of the first such end of each upstream, by key.
+    """
+
+    first: dict[str, int] = field(default_factory=dict)
+    _logged: dict[str, int] = field(default_factory=dict)
+
+    def begin_round(self) -> None:
+        """Drop the ends of the round before."""
+        self._logged, self.first = self.first, {}
+
+    def acknowledgeable_upto(
+        self, report: UpstreamReport, changes: StepChanges, job_table: JobTable
+    ) -> int:
+        """Return up to which number the ends of a report may be acknowledged."""
+        rows = [
+            row
+            for row in report.ended
+            if row.number > report.lapsed_upto
+            and _was_started_again(row, changes, job_table)
+        ]
+        if not rows:
+            return max(row.number for row in report.ended)
+        row = min(rows, key=lambda one: one.number)
+        self.first[report.key] = row.number
+        if self._logged.get(report.key) != row.number:
+            decision(
+                "end_withheld",
+                upstream=report.key,
+                task=row.task,
+                run=row.run,
+                how=row.outcome,
+                number=row.number,
+                lapsed_upto=report.lapsed_upto,
+            )
+        return row.number - 1
 
 
 def _was_started_again(
@@ -52,4 +85,4 @@
     return task.phase != DONE and task.last_failed_run < row.run
 
 
-__all__ = ["first_withheld_end"]
+__all__ = ["WithheldEnds"]
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -74,7 +74,7 @@
     Attributes
     ----------
     steps : dict
-        States of steps of which a task was started, by occurrence and number.
+        States of steps of which a start was decided, by occurrence and number.
     finished_s : float
         This process's clock when it first saw the job finished without open runs, 0
         before.
@@ -130,8 +130,8 @@
 
     @property
     def has_started(self) -> bool:
-        """Whether any task has been started."""
-        return bool(self.steps)
+        """Whether any task has begun; a start that was refused does not count."""
+        return any(state.has_begun for state in self.steps.values())
 
     @property
     def has_open_runs(self) -> bool:
--- a/src/hyssoprill/state/step_state.py
+++ b/src/hyssoprill/state/step_state.py
@@ -13,6 +13,8 @@
 
 WAITING, OPEN, DONE, FAILED = 0, 1, 2, 3
 
+ASSUMED, BEGUN, NOT_BEGUN = 0, 1, 2
+
 STEP_PREFIX = "step/"
 
 
@@ -50,6 +52,9 @@
     done_run : int
         An earlier run that has ended as done while the newest is still open; 0 for
         none.
+    beginning : int
+        `BEGUN` if a run is known to have begun; `NOT_BEGUN` if none has, although a
+        start was decided; `ASSUMED` until either is known.
     """
 
     phase: Annotated[int, Meta(ge=WAITING, le=FAILED)] = WAITING
@@ -65,12 +70,20 @@
     lone_crashes: Count = 0
     last_crashed_run: Count = 0
     done_run: Count = 0
+    beginning: Annotated[int, Meta(ge=ASSUMED, le=NOT_BEGUN)] = ASSUMED
 
     @property
     def is_done(self) -> bool:
         """Whether a run has ended as done, also while a newer one is being stopped."""
         return self.phase == DONE or self.done_run > 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a run has begun, as far as is known; an open one is assumed to."""
+        if self.beginning == ASSUMED:
+            return self.phase != WAITING
+        return self.beginning == BEGUN
+
 
 class StepState(Struct, frozen=True, array_like=True, dict=True):
     """Stored state of all tasks of one occurrence of a step.
@@ -85,6 +98,11 @@
         """Whether all tasks are done."""
         return all(task.is_done for task in self.tasks)
 
+    @cached_property
+    def has_begun(self) -> bool:
+        """Whether a run of some task has begun."""
+        return any(task.has_begun for task in self.tasks)
+
     @cached_property
     def has_failed(self) -> bool:
         """Whether a task has used up its attempts, or was given up."""
@@ -136,8 +154,11 @@
 
 
 __all__ = [
+    "ASSUMED",
+    "BEGUN",
     "DONE",
     "FAILED",
+    "NOT_BEGUN",
     "OPEN",
     "STEP_PREFIX",
     "WAITING",
--- a/tests/coordination/intake/test_intake.py
+++ b/tests/coordination/intake/test_intake.py
@@ -21,8 +21,15 @@
 )
 from hyssoprill.ports.store import Record
 from hyssoprill.protocol.job import ZERO_AMOUNTS, Job, ResourceAmounts, Step
-from hyssoprill.state.job_table import SIZES_KEY
+from hyssoprill.state.job_table import (
+    OPEN,
+    SIZES_KEY,
+    WAITING,
+    StepState,
+    TaskState,
+)
 from hyssoprill.state.known_capacities import KnownCapacities
+from hyssoprill.state.step_state import BEGUN, NOT_BEGUN
 from hyssoprill.tasks import cancel_all
 
 JOB_ID = "00000000000000a1"
@@ -77,6 +84,29 @@
     run_scenario(scenario)
 
 
+def test_jobs_whose_starts_were_refused_are_counted_as_waiting():
+    async def scenario(store, replica, intake):
+        states = [
+            TaskState(WAITING, 3, beginning=NOT_BEGUN),
+            TaskState(OPEN, 4, "vm|a:1|1|i", beginning=NOT_BEGUN),
+            TaskState(OPEN, 1, "vm|a:1|1|i"),
+            TaskState(WAITING, 1, beginning=BEGUN),
+        ]
+        for number, state in enumerate(states):
+            job_id = f"{number:016x}"
+            await intake.accept(make_job(job_id))
+            value = msgspec.json.encode(StepState((state,)))
+            await store.append("jobs", [Record(f"step/{job_id}.0.0", value)])
+        await intake.accept(make_job(f"{9:016x}"))
+        await asyncio.sleep(0.3)
+        assert intake.count_waiting("q") == 3
+        jobs = replica.job_table.jobs.values()
+        told = [one.status for one in jobs]
+        assert told == ["queued", "queued", "running", "running", "queued"]
+
+    run_scenario(scenario)
+
+
 def test_job_that_does_not_fit_into_a_record_is_refused_and_not_stored():
     # Guards against a limit on the body, which is shorter than the stored job.
     steps = tuple(Step(need=ResourceAmounts(1, 1, 1), after=()) for _ in range(1000))
--- a/tests/coordination/planner/test_large_records.py
+++ b/tests/coordination/planner/test_large_records.py
@@ -9,6 +9,7 @@
 from msgspec.structs import replace
 
 from hyssoprill.clock import boottime_s
+from hyssoprill.coordination.planner.election import append_all
 from hyssoprill.coordination.planner.retention import expired_records
 from hyssoprill.errors import StoreRejectedError
 from hyssoprill.ports.store import DEFAULT_RECORD_BYTES, Record, split_batches
@@ -88,7 +89,7 @@
         good = Record(f"{JOB_PREFIX}{SMALL}", b"{}")
         too_large = Record(f"{JOB_PREFIX}{LARGE}", b"x" * (DEFAULT_RECORD_BYTES + 1))
         with pytest.raises(StoreRejectedError):
-            await entry.planner._append([good, too_large])
+            await append_all(entry.election, [good, too_large])
         assert good.key in harness.store.topic("jobs").newest
 
     run_scenario(scenario)
