Leave records of unknown jobs alone, and count tasks that are done as begun

Records of steps whose job is not known are not deleted: a job that this version cannot read would have lost its state in an upgrade. Tests of state, of beginnings and of closing pass.

--- a/src/hyssoprill/coordination/planner/retention.py
+++ b/src/hyssoprill/coordination/planner/retention.py
@@ -12,7 +12,6 @@
     from ...state.job_table import JobState, JobTable
 
 MAX_JOBS_PER_CALL = 50
-MAX_ORPHANS_PER_CALL = 500
 RETENTION_FACTOR = 1.5
 """Jobs are kept longer than promised, as other entries saw them end at other times."""
 
@@ -20,8 +19,6 @@
 def expired_records(job_table: JobTable, retention_s: float) -> list[Record]:
     """Return records that delete some of the jobs whose retention time is over.
 
-    Records of steps that an earlier planner has left behind so are deleted as well.
-
     Parameters
     ----------
     retention_s : float
@@ -35,8 +32,7 @@
         and job_state.finished_s
         and now_s - job_state.finished_s > retention_s * RETENTION_FACTOR
     ]
-    orphaned_keys = job_table.orphaned_step_keys[:MAX_ORPHANS_PER_CALL]
-    records = [Record(key, b"") for key in orphaned_keys]
+    records: list[Record] = []
     for job_state in expired[:MAX_JOBS_PER_CALL]:
         records += _deletions_of(job_state)
     return records
--- a/src/hyssoprill/state/job_table.py
+++ b/src/hyssoprill/state/job_table.py
@@ -276,30 +276,13 @@
             job_id = _parse_job_id(key)
             job_state = self.jobs.get(job_id)
             if job_state is None:
-                self._hold_orphan(job_id, offset, key, value)
+                if value:
+                    self._orphans[job_id].append((offset, key, value))
                 return
             self._apply_to_job(job_state, offset, key, value)
         else:
             raise ValueError("records of this key are not known")
 
-    def _hold_orphan(self, job_id: str, offset: int, key: str, value: bytes) -> None:
-        """Keep the record of a job that is not known yet; an empty one removes it."""
-        held = [one for one in self._orphans.pop(job_id, ()) if one[1] != key]
-        if value:
-            held.append((offset, key, value))
-        if held:
-            self._orphans[job_id] = held
-
-    @property
-    def orphaned_step_keys(self) -> list[str]:
-        """Keys of the records of steps whose job is not stored."""
-        return [
-            key
-            for held in self._orphans.values()
-            for _offset, key, _value in held
-            if key.startswith(STEP_PREFIX)
-        ]
-
     def _apply_vacated(self, term: int) -> None:
         """Apply that a term was handed over, which can only be one that has begun."""
         newest = self.term.term if self.term is not None else 0
--- a/src/hyssoprill/state/step_state.py
+++ b/src/hyssoprill/state/step_state.py
@@ -80,6 +80,8 @@
     @property
     def has_begun(self) -> bool:
         """Whether a run has begun, as far as is known; an open one is assumed to."""
+        if self.is_done:
+            return True
         if self.beginning == ASSUMED:
             return self.phase != WAITING
         return self.beginning == BEGUN
--- a/tests/coordination/planner/test_beginnings.py
+++ b/tests/coordination/planner/test_beginnings.py
@@ -9,6 +9,7 @@
 from hyssoprill.coordination.planner import beginnings, fleet
 from hyssoprill.protocol.job import ResourceAmounts, Step
 from hyssoprill.protocol.upstream_messages import RunReport
+from hyssoprill.state.step_state import NOT_BEGUN, OPEN, TaskState
 
 NAME = "00000000000000a1"
 TASK = f"{NAME}.0.0.0"
@@ -147,6 +148,11 @@
     run_scenario(scenario)
 
 
+def test_task_that_is_done_has_begun_whatever_became_of_its_newest_start():
+    task = TaskState(OPEN, 2, "vm|a:1|1|i", done_run=1, beginning=NOT_BEGUN)
+    assert task.has_begun
+
+
 def test_next_planner_leaves_what_it_cannot_know_of_runs_it_has_not_started(
     run_scenario, make_agent, monkeypatch
 ):
